Bound window latency by the class's aim instead of 1.8 times the lowest mean seen

Cause: Balancer::observe and Latency::lmax in src/balancer.rs. Lmax was min(1.8 x base, 0.4 x aim), base being the least that a running mean had ever been. Work takes 2 to 4 ms there and the aim is 80 ms, so any usual spell passed 1.8 times the luckiest one, and every window backed off. Lmax is now its aim's part alone; the estimate of the uncrowded latency and its gate on the kinds' windows are gone. The same fault does not occur elsewhere: overdue and too_late use the mean, not a minimum.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -29,12 +29,9 @@
 const LARGE_STEP: f64 = 0.15;
 /// A server without a slot and without a judged window for this long takes its kind's limit.
 const UNSAMPLED_AFTER: Micros = 2 * SECOND;
-/// Lmax as a multiple of the latency that a class shows when servers are not crowded: beyond it they queue.
-const LMAX_OVER_BASE: f64 = 1.8;
-/// Lmax as a part of the class's aim, at most: limits have to fall before aims are missed.
+/// Lmax as a part of the class's aim: limits have to fall before aims are missed. It follows no latency seen
+/// so far: where work takes few milliseconds, a bound on the fastest spell is passed by mere chance.
 const LMAX_OVER_AIM: f64 = 0.4;
-/// Growth of the uncrowded latency's estimate a second, so that it follows a fleet that got slower.
-const BASE_DRIFT: f64 = 0.01;
 /// Limits of all proxies together for one server: the first one, the bounds. The start must not starve large
 /// servers; the floor keeps samples coming.
 const INITIAL_LIMIT: f64 = 1.5;
@@ -129,8 +126,7 @@
     /// The first of the settings that makes no sense.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Self, SettingsError> {
         settings.validate()?;
-        let latency =
-            |aim: Micros| Latency { count: 0, mean: aim as f64 / 4.0, base: f64::MAX, base_at: now };
+        let latency = |aim: Micros| Latency { count: 0, mean: aim as f64 / 4.0 };
         let kinds = usize::from(settings.kinds).max(1);
         let latencies = settings.classes.iter().flat_map(|c| vec![latency(c.aim); kinds]).collect();
         let window = Window { since: now, ..Window::default() };
@@ -668,7 +664,6 @@
         let server = &mut self.servers[index];
         let kind = usize::from(server.kind);
         let latency = &mut self.latencies[class * kinds + kind];
-        let known = latency.base < f64::MAX || self.pool.spread > 1.0;
         let elapsed = end.elapsed as f64;
         server.in_flight = server.in_flight.saturating_sub(1);
         self.in_flight = self.in_flight.saturating_sub(1);
@@ -678,8 +673,7 @@
             server.trial_out = false;
             return;
         }
-        let aim = self.settings.classes[class].aim as f64;
-        let lmax = latency.lmax(aim);
+        let lmax = self.settings.classes[class].aim as f64 * LMAX_OVER_AIM;
         let multiplex = self.settings.permissions.multiplex.max(1);
         if let Some(at) = server.rested.get_mut((server.in_flight / multiplex) as usize) {
             *at = now;
@@ -692,7 +686,7 @@
         };
         let failed = match end.outcome {
             Outcome::Ok => {
-                latency.add(elapsed, now, LATENCY_WEIGHT, BASE_DRIFT);
+                latency.add(elapsed);
                 self.served.add(now);
                 server.silent_since = now;
                 false
@@ -717,7 +711,7 @@
         self.judge_health(now, index, failed, out);
         // Errors and lost connections say nothing of how crowded the servers of a kind are.
         let broken = matches!(end.outcome, Outcome::Error | Outcome::ConnectFailed | Outcome::Reset);
-        if known && !broken {
+        if !broken {
             self.judge_kind(now, kind, sample.min(SAMPLE_CAP));
         }
         self.judge_window(now, index, sample.min(SAMPLE_CAP));
@@ -863,20 +857,9 @@
 }
 
 impl Latency {
-    /// Takes one more latency; the base grows by the part `growth` a second.
-    fn add(&mut self, elapsed: f64, now: Micros, weight: f64, growth: f64) {
+    fn add(&mut self, elapsed: f64) {
         self.count += 1;
-        self.mean += (elapsed - self.mean) * weight.max(1.0 / f64::from(self.count));
-        let drift = 1.0 + growth * (now - self.base_at) as f64 / 1e6;
-        self.base_at = now;
-        if f64::from(self.count) * weight >= 1.0 {
-            self.base = (self.base * drift).min(self.mean);
-        }
-    }
-
-    /// The latency above which a limit backs off.
-    fn lmax(&self, aim: f64) -> f64 {
-        (self.base * LMAX_OVER_BASE).min(aim * LMAX_OVER_AIM)
+        self.mean += (elapsed - self.mean) * LATENCY_WEIGHT.max(1.0 / f64::from(self.count));
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -126,9 +126,6 @@
 pub(crate) struct Latency {
     pub(crate) count: u32,
     pub(crate) mean: f64,
-    /// The lowest that the mean has been, drifting up slowly: the latency without crowding.
-    pub(crate) base: f64,
-    pub(crate) base_at: Micros,
 }
 
 pub(crate) struct Bucket {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -64,6 +64,18 @@
     assert!(slow <= 6, "near the aim the limits have fallen: {slow}");
 }
 
+/// case4833: the latency bound was a multiple of the lowest mean latency ever seen, so a usual load after a quiet
+/// spell read as crowding: limits stayed at their floor and requests were refused by servers that stood idle.
+#[test]
+fn latency_far_under_the_aim_keeps_the_limits_up_however_quick_the_servers_were_before() {
+    let mut proxy = Proxy::new(single_zone(), one_zone(2));
+    load(&mut proxy, 0, 300, 1, |_| 10 * MS);
+    load(&mut proxy, 10_000, 300, 2, |_| 100 * MS);
+    let refused = proxy.log.iter().filter(|(at, _)| *at + SECOND > proxy.now);
+    let refused = refused.filter(|(_, a)| matches!(a, Action::Refuse { .. })).count();
+    assert_eq!(refused, 0, "a fifth of the aim is no sign of crowding");
+}
+
 #[test]
 fn a_held_request_of_higher_worth_goes_first() {
     let mut settings = single_zone();
