Let no single lost connection eject a server

Possible causes written down before looking: - stale connections: a server closes resting ones and the proxy writes to them (ruled out by strace: of 87 ECONNRESET 14 came on a connection's first request, and those on later ones after rests of 0.2 to 660 ms, no rest standing out); - servers that die, with all their connections (ruled out: the same servers answer other connections meanwhile, and the report shows no failed connect); - connections that break at random under requests, about six in a hundred, and a module that takes each for a dead server: confirmed.

Cause: Balancer::observe in src/balancer.rs gave a reset or a failed connect twice the weight of another failure: 2 x 0.25 is EJECT_AT, so a single one ejected. Most servers were out most of the time and the remaining ones drowned. The weight is gone: three failures in a row are needed.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -47,7 +47,8 @@
 const PART_HOLDS: Micros = 5 * SECOND;
 /// A request without room waits this part of its time left.
 const HOLD_PART: Micros = 10;
-/// Weight of one more failure in a server's failure share, and the share at which it is ejected.
+/// Weight of one more failure in a server's failure share, and the share at which it is ejected. No single
+/// failure may do: where connections break now and then, every server would be out for most of the time.
 const FAILURE_WEIGHT: f64 = 0.25;
 const EJECT_AT: f64 = 0.5;
 /// First ejection; each further one lasts twice as long, up to 2^4 times.
@@ -705,9 +706,8 @@
             return;
         }
         let server = &mut self.servers[index];
-        let weight = if matches!(end.outcome, Outcome::ConnectFailed | Outcome::Reset) { 2.0 } else { 1.0 };
         let target = f64::from(u8::from(failed));
-        server.failures += (target - server.failures) * FAILURE_WEIGHT * weight;
+        server.failures += (target - server.failures) * FAILURE_WEIGHT;
         self.judge_health(now, index, failed, out);
         // Errors and lost connections say nothing of how crowded the servers of a kind are.
         let broken = matches!(end.outcome, Outcome::Error | Outcome::ConnectFailed | Outcome::Reset);
