--- a/tests/module.rs
+++ b/tests/module.rs
@@ -203,6 +203,29 @@
     }
 }
 
+/// case1723: six requests in a hundred were lost with their connection, and the budget for repeats covered two.
+#[test]
+fn keyed_requests_lost_in_passing_are_sent_again_and_a_lasting_failure_is_not_multiplied() {
+    let run = |lost: &dyn Fn(RequestId) -> bool| {
+        let mut proxy = Proxy::new(single_zone(), one_zone(4));
+        for id in 0..300 {
+            proxy.request(request(id, 4));
+            for _ in 0..4 {
+                proxy.advance(5 * MS);
+                for (id, attempt, _) in proxy.out() {
+                    let breaks = lost(id) && (attempt == 0 || id % 2 == 0);
+                    proxy.settle(id, attempt, if breaks { Outcome::Reset } else { Outcome::Ok });
+                }
+            }
+        }
+        let failures = proxy.log.iter().filter(|(_, a)| matches!(a, Action::Fail { .. })).count();
+        (failures, proxy.requests.values().map(|t| t.attempts.len()).sum::<usize>())
+    };
+    assert_eq!(run(&|id| id % 14 == 7).0, 0, "one in fourteen is lost at its first attempt");
+    let (_, attempts) = run(&|id| id % 2 == 0);
+    assert!(attempts < 300 + 300 / 4, "half of the requests are lost at each attempt: {attempts} attempts");
+}
+
 /// Quick errors read as low latency; they must not raise a limit.
 #[test]
 fn quick_errors_do_not_raise_a_limit() {
