Handle SIGHUP: follow discovery to the address that the configuration now names

Possible causes: a panic (ruled out: the exit code is 128 plus a signal's number, and the log ends without a message); killed for memory (ruled out: 1 MB of 48, and that would be 137); a signal nobody handles: 129 is SIGHUP, which TERMS sends with a new address of discovery.

Cause: run and start in src/bin/haventrack-proxy.rs registered SIGTERM alone, so that SIGHUP kept its default of ending the process, and Watcher in src/proxy/discovery.rs knew one address for life. SIGHUP now reads the file again and tells the watcher, which drops the call in hand and asks for the whole list at the new address at once, without waiting for the module: its subscription still stands, only the way to it has changed. A file that can't be read changes nothing.

Test: at_sighup_it_follows_discovery_to_where_the_configuration_says_and_serves_on, for both discovery modes; the old program ends at the signal.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -59,8 +59,8 @@
 /// An attempt is overdue at this multiple of its class's mean latency, between these parts of its aim.
 const OVERDUE_OVER_MEAN: f64 = 4.0;
 const OVERDUE_OVER_AIM: (f64, f64) = (0.25, 0.8);
-/// Part of the requests that may get a further attempt after one that may have run, and the burst. It has to pay
-/// for what breaks in ordinary operation; it is there to keep repeats of a lasting failure from multiplying load.
+/// Part of the requests that may get a further attempt after one that may have run, and the burst. It has to
+/// pay for what breaks in ordinary operation, and keeps repeats of a lasting failure from multiplying load.
 const RETRY_SHARE: f64 = 0.2;
 const RETRY_BURST: f64 = 10.0;
 /// No shorter rest is to blame for a lost request: heavy work times out, and nothing drops idle ones so soon.
--- a/src/bin/haventrack-proxy.rs
+++ b/src/bin/haventrack-proxy.rs
@@ -39,7 +39,22 @@
     socket.listen(BACKLOG)
 }
 
-async fn run(config: Config, mut stop: Signal) -> Result<(), Box<dyn Error>> {
+/// The signals that the proxy takes while it runs.
+struct Signals {
+    stop: Signal,
+    reload: Signal,
+}
+
+/// Reads the configuration again and tells where discovery listens now. What can't be read changes nothing: the
+/// proxy goes on with what it has.
+fn reload(discovery: &watch::Sender<SocketAddr>) {
+    match Config::from_env() {
+        Ok(config) => _ = discovery.send_replace(config.discovery),
+        Err(error) => log(format_args!("SIGHUP changes nothing: {error}")),
+    }
+}
+
+async fn run(config: Config, mut signals: Signals) -> Result<(), Box<dyn Error>> {
     let clock = Clock::start();
     let settings = config.settings;
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
@@ -66,15 +81,19 @@
     let (phase, phases) = watch::channel(Phase::Running);
     let clients = Clients::new(handle, clock, &settings, &config.names, held, phases, config.client_sockets);
 
-    let driver = tokio::task::spawn_local(driver.run());
-    tokio::task::spawn_local(watcher.run());
+    let mut driver = tokio::task::spawn_local(driver.run());
+    let (discovery, moves) = watch::channel(config.discovery);
+    tokio::task::spawn_local(watcher.run(moves));
     tokio::task::spawn_local(fleet.sweep());
     tokio::task::spawn_local(Rc::clone(&clients).accept(listener));
-    tokio::select! {
-        ended = driver => Err(format!("the driver ended: {ended:?}").into()),
-        _ = stop.recv() => {
-            drain(&clients, &phase, Duration::from_micros(longest)).await;
-            Ok(())
+    loop {
+        tokio::select! {
+            ended = &mut driver => return Err(format!("the driver ended: {ended:?}").into()),
+            Some(()) = signals.reload.recv() => reload(&discovery),
+            _ = signals.stop.recv() => {
+                drain(&clients, &phase, Duration::from_micros(longest)).await;
+                return Ok(());
+            }
         }
     }
 }
@@ -95,8 +114,9 @@
     let config = Config::from_env()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
-        let stop = signal(SignalKind::terminate())?;
-        run(config, stop).await
+        let signals =
+            Signals { stop: signal(SignalKind::terminate())?, reload: signal(SignalKind::hangup())? };
+        run(config, signals).await
     })
 }
 
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -20,7 +20,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
@@ -223,6 +223,10 @@
     asked: Option<mpsc::UnboundedReceiver<()>>,
     conn: Option<Conn>,
     revision: Option<u64>,
+    /// The next call is to be made without a word from the module: a watch goes on, or discovery has moved.
+    due: bool,
+    /// Calls that failed in a row.
+    failures: u32,
     /// The list of the configuration can be served from.
     fallback: bool,
 }
@@ -237,8 +241,19 @@
         held: Rc<Cell<bool>>,
         asked: Option<mpsc::UnboundedReceiver<()>>,
     ) -> Self {
-        let host = HeaderValue::try_from(address.to_string()).ok();
-        Self { address, host, translator, handle, held, asked, conn: None, revision: None, fallback: false }
+        Self {
+            address,
+            host: host(address),
+            translator,
+            handle,
+            held,
+            asked,
+            conn: None,
+            revision: None,
+            due: false,
+            failures: 0,
+            fallback: false,
+        }
     }
 
     /// Hands on the list that the configuration holds. It may be old: the next call asks for the whole list.
@@ -255,26 +270,46 @@
         self.handle.tell(Message::Listed(Scope::Cached, entries));
     }
 
-    /// Follows discovery for as long as the proxy runs.
-    pub async fn run(mut self) {
-        let mut failures = 0_u32;
+    /// Follows discovery for as long as the proxy runs, at each address that `moves` tells.
+    pub async fn run(mut self, mut moves: watch::Receiver<SocketAddr>) {
         loop {
-            if self.revision.is_none() || failures > 0 {
-                self.wait_for_call().await;
+            // A call that a move cuts short leaves nothing behind but its connection, which it drops.
+            tokio::select! {
+                biased;
+                Ok(()) = moves.changed() => self.move_to(*moves.borrow_and_update()),
+                () = self.step() => {}
             }
-            match self.call().await {
-                Ok(list) => {
-                    failures = 0;
-                    self.pass_on(list);
-                }
-                Err(error) => {
-                    if failures == 0 {
-                        log(format_args!("discovery: {error}"));
-                    }
-                    failures = failures.saturating_add(1);
-                    self.conn = None;
-                    self.after_failure(failures).await;
+        }
+    }
+
+    /// Discovery listens elsewhere: the list there need not count its versions as the old one did.
+    fn move_to(&mut self, address: SocketAddr) {
+        if address == self.address {
+            return;
+        }
+        log(format_args!("discovery moves to {address}"));
+        (self.address, self.host) = (address, host(address));
+        (self.conn, self.revision) = (None, None);
+        (self.due, self.failures) = (true, 0);
+    }
+
+    /// One call and what follows from it.
+    async fn step(&mut self) {
+        if !self.due {
+            self.wait_for_call().await;
+        }
+        match self.call().await {
+            Ok(list) => {
+                (self.due, self.failures) = (true, 0);
+                self.pass_on(list);
+            }
+            Err(error) => {
+                if self.failures == 0 {
+                    log(format_args!("discovery: {error}"));
                 }
+                self.failures = self.failures.saturating_add(1);
+                (self.due, self.conn) = (false, None);
+                self.after_failure().await;
             }
         }
     }
@@ -300,7 +335,7 @@
     }
 
     /// The module decides when a service is asked again; an agent is asked again a little later each time.
-    async fn after_failure(&mut self, failures: u32) {
+    async fn after_failure(&mut self) {
         // Without discovery an old list is better than none.
         if self.fallback {
             self.held.set(true);
@@ -308,7 +343,7 @@
         if self.asked.is_some() {
             return self.handle.tell(Message::Listed(Scope::Failed, Vec::new()));
         }
-        sleep(FIRST_BACKOFF * (1 << failures.min(MOST_DOUBLINGS))).await;
+        sleep(FIRST_BACKOFF * (1 << self.failures.min(MOST_DOUBLINGS))).await;
     }
 
     async fn call(&mut self) -> Result<List, DiscoveryError> {
@@ -353,6 +388,10 @@
     }
 }
 
+fn host(address: SocketAddr) -> Option<HeaderValue> {
+    HeaderValue::try_from(address.to_string()).ok()
+}
+
 async fn dial(address: SocketAddr) -> Option<Conn> {
     let stream = TcpStream::connect(address).await.ok()?;
     stream.set_nodelay(true).ok()?;
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -355,6 +355,34 @@
     assert_eq!(proxy.wait().code(), Some(0));
 }
 
+/// SIGHUP ended the program: nothing handled it.
+#[test]
+fn at_sighup_it_follows_discovery_to_where_the_configuration_says_and_serves_on() {
+    for mode in ["pushed", "on_request"] {
+        let (old, new) = (Discovery::start(), Discovery::start());
+        let (first, second) = (Backend::start(|_| ok("first")), Backend::start(|_| ok("second")));
+        let name = format!("sighup-{mode}");
+        let mut config = config(&name, &old);
+        config["settings"]["membershipMode"] = mode.into();
+        let mut proxy = Proxy::start_with(&name, config.clone());
+        old.post(true, &[entry("s-1", first.address, "active", 0)]);
+        let mut client = proxy.client();
+        assert_eq!(client.ask(&request("read", "1", "")).body, b"first");
+        // A file that can't be read changes nothing.
+        write_config(&name, "{");
+        proxy.hang_up();
+        old.post(true, &[entry("s-1", first.address, "active", 0)]);
+        assert_eq!(client.ask(&request("read", "2", "")).body, b"first", "{mode}");
+        config["discovery"] = new.address.to_string().into();
+        write_config(&name, &config.to_string());
+        proxy.hang_up();
+        // Versions at the new address need not follow on from those of the old one.
+        new.post(true, &[entry("s-2", second.address, "active", 0)]);
+        assert_eq!(client.ask(&request("read", "3", "")).body, b"second", "{mode}");
+        assert!(proxy.child.try_wait().expect("its state").is_none(), "it still runs");
+    }
+}
+
 #[test]
 fn a_restarted_proxy_takes_its_old_address_while_connections_of_the_old_one_linger() {
     let discovery = Discovery::start();
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -4,6 +4,7 @@
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Condvar, Mutex};
@@ -235,12 +236,18 @@
 
 /// Starts the program with this configuration, its standard error at hand.
 pub fn launch(name: &str, config: &str) -> Child {
-    let path = env::temp_dir().join(format!("haventrack-{}-{name}.json", std::process::id()));
-    fs::write(&path, config).expect("the configuration is written");
+    let path = write_config(name, config);
     let mut command = Command::new(env!("CARGO_BIN_EXE_haventrack-proxy"));
     command.env("EDGE_CONFIG", path).stderr(Stdio::piped()).spawn().expect("the program starts")
 }
 
+/// Writes a configuration, or replaces the one that a program was started with.
+pub fn write_config(name: &str, config: &str) -> PathBuf {
+    let path = env::temp_dir().join(format!("haventrack-{}-{name}.json", std::process::id()));
+    fs::write(&path, config).expect("the configuration is written");
+    path
+}
+
 impl Proxy {
     /// A proxy that is up with these backends.
     pub fn start(name: &str, discovery: &Discovery, members: &[Value]) -> Self {
@@ -276,7 +283,16 @@
     }
 
     pub fn terminate(&self) {
-        let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        self.signal("-TERM");
+    }
+
+    /// Sends the signal that asks it to read its configuration again.
+    pub fn hang_up(&self) {
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, which: &str) {
+        let done = Command::new("kill").args([which, &self.child.id().to_string()]).status();
         assert!(done.expect("kill runs").success());
     }
 
