Close on peers that send no whole request within three seconds

Cause: HEAD_TIMEOUT was 60 s and BODY_TIMEOUT 10 s after the head, in src/proxy/clients.rs, so a peer that stopped halfway kept its connection for up to 70 s, and with it a place under the cap that a client could have had.

A later body has 2.5 s: its client has shown itself to be one.

Test: who_sends_no_whole_request_is_rid_of_in_seconds_and_a_served_client_may_go_on; with the old times the proxy still holds the silent peer when the test's 20 s end.

--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -25,11 +25,15 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// How long a client may take to begin and finish a request's head; also how long it may stay idle.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+const HEAD_TIMEOUT: Duration = Duration::from_millis(2_200);
+/// How long after it connected a client must have sent its first request whole: anybody may connect, and who
+/// sends no proper request has to be rid of within three seconds.
+const FIRST_WITHIN: Duration = Duration::from_millis(2_700);
+/// The same for the body of a later request, from its head on.
+const BODY_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long a closing connection is read on, and how much of it, so that the kernel does not answer late
 /// bytes with a reset that destroys an answer on its way.
 const LINGER: Duration = Duration::from_millis(500);
@@ -169,9 +173,11 @@
     async fn connection(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let clients = Rc::clone(&self);
+        let first_until = Cell::new(Some(Instant::now() + FIRST_WITHIN));
         let service = service_fn(move |request| -> Pin<Box<dyn Future<Output = _>>> {
             let clients = Rc::clone(&clients);
-            Box::pin(async move { Ok::<_, Infallible>(clients.respond(request).await) })
+            let body_until = first_until.take().unwrap_or_else(|| Instant::now() + BODY_TIMEOUT);
+            Box::pin(async move { Ok::<_, Infallible>(clients.respond(request, body_until).await) })
         });
         let mut conn = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -207,12 +213,12 @@
         self.freed.notify_waiters();
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn respond(&self, request: Request<Incoming>, body_until: Instant) -> Response<Full<Bytes>> {
         let arrived = self.clock.now();
         let mut response = if request.uri().path() == "/up" {
             self.up()
         } else {
-            match self.inbound(request, arrived).await {
+            match self.inbound(request, arrived, body_until).await {
                 Ok(inbound) => self.ask(inbound).await,
                 Err(Rejected(status, why)) => {
                     let mut response = plain(status, why);
@@ -260,7 +266,12 @@
         }
     }
 
-    async fn inbound(&self, request: Request<Incoming>, arrived: Micros) -> Result<Inbound, Rejected> {
+    async fn inbound(
+        &self,
+        request: Request<Incoming>,
+        arrived: Micros,
+        body_until: Instant,
+    ) -> Result<Inbound, Rejected> {
         let (head, body) = request.into_parts();
         let bad = |why| Rejected(StatusCode::BAD_REQUEST, why);
         let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
@@ -295,7 +306,7 @@
             work: text(WEIGHT_HINT).and_then(|v| v.trim().parse().ok()),
             repeat: text(REPEAT) == Some("1"),
         };
-        let body = collect(body).await?;
+        let body = collect(body, body_until).await?;
         let call = Call { method: head.method, target: head.uri, headers: forwarded(head.headers), body };
         Ok(Inbound { request, arrived, call })
     }
@@ -323,8 +334,8 @@
     }
 }
 
-async fn collect(body: Incoming) -> Result<Bytes, Rejected> {
-    let collected = timeout(BODY_TIMEOUT, Limited::new(body, BODY_CAP).collect()).await;
+async fn collect(body: Incoming, until: Instant) -> Result<Bytes, Rejected> {
+    let collected = timeout_at(until, Limited::new(body, BODY_CAP).collect()).await;
     let collected = collected.map_err(|_| Rejected(StatusCode::REQUEST_TIMEOUT, "the body is late\n"))?;
     let collected = collected.map_err(|error| {
         if error.is::<LengthLimitError>() {
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -286,6 +286,29 @@
     }
 }
 
+/// A peer that said nothing, or stopped halfway, was kept for up to seventy seconds.
+#[test]
+fn who_sends_no_whole_request_is_rid_of_in_seconds_and_a_served_client_may_go_on() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("fine"));
+    let proxy = Proxy::start("no-request", &discovery, &[entry("s-1", backend.address, "active", 0)]);
+    let whole = request("submit", "1", "some body");
+    let mut served = proxy.client();
+    let stops = ["", "nonsense without an end", &whole[..40], &whole[..whole.len() - 4]];
+    let mut peers = stops.map(|text| {
+        let mut peer = proxy.client();
+        peer.send(text);
+        peer
+    });
+    assert_eq!(served.ask(&whole).status(), 200);
+    for (peer, text) in peers.iter_mut().zip(stops) {
+        let mut got = String::new();
+        peer.reader.read_to_string(&mut got).expect("an end without a reset");
+        assert!(got.is_empty() || got.starts_with("HTTP/1.1 4"), "{text:?} got {got:?}");
+    }
+    assert_eq!(backend.rest(), 1, "nothing but the whole request went out");
+}
+
 #[test]
 fn idle_clients_do_not_keep_others_out() {
     let discovery = Discovery::start();
