Hold client connections to a third of the descriptors

Cause: Config::parse in src/proxy/config.rs gave clients three fifths of what is left after 24 reserved ones: 600 of 1,024, and 139 of 256 where 85 are allowed. It now gives them a third at most, and never more than backends have, whose share grows by that.

Test: clients_hold_at_most_a_third_of_the_descriptors, over limits from 48 to 4,096; the old division fails it from the smallest on.

--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -167,7 +167,8 @@
         let more: RawNames = serde_json::from_value(raw.settings).map_err(ConfigError::Malformed)?;
         let named = |list: Vec<Named>| list.into_iter().map(|n| n.name).collect();
         let sockets = raw.limits.sockets.unwrap_or(DEFAULT_SOCKETS).max(2 * RESERVED_SOCKETS);
-        let free = sockets - RESERVED_SOCKETS;
+        // No more than a third may be clients' connections; what is left serves as backends' connections.
+        let client_sockets = (sockets / 3).min((sockets - RESERVED_SOCKETS) / 2);
         Ok(Self {
             name: raw.name.or_else(|| variable("EDGE_NAME")).unwrap_or_default(),
             listen: address("listen", raw.listen, "EDGE_LISTEN")?,
@@ -183,9 +184,8 @@
                 report: more.load_report.fields,
             },
             dial_timeout: more.permissions.dial_timeout_us.filter(|&t| t > 0).unwrap_or(DEFAULT_DIAL),
-            // A client's connection may carry a request that waits for a backend's, so it gets the larger part.
-            client_sockets: free * 3 / 5,
-            backend_sockets: free - free * 3 / 5,
+            client_sockets,
+            backend_sockets: sockets - RESERVED_SOCKETS - client_sockets,
         })
     }
 }
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -2,6 +2,7 @@
 
 mod rig;
 
+use haventrack::proxy::config::Config;
 use rig::*;
 use socket2::{Domain, Socket, Type};
 use std::io::Read;
@@ -309,6 +310,21 @@
     assert_eq!(backend.rest(), 1, "nothing but the whole request went out");
 }
 
+/// Clients were given three fifths of the descriptors; the platform allows a third.
+#[test]
+fn clients_hold_at_most_a_third_of_the_descriptors() {
+    let discovery = Discovery::start();
+    for sockets in [0, 48, 64, 256, 384, 1_024, 4_096] {
+        let mut config = config("third", &discovery);
+        config["limits"]["sockets"] = sockets.into();
+        let config = Config::parse(config.to_string().as_bytes(), |_| None).expect("a configuration");
+        let sockets = sockets.max(48);
+        let (clients, backends) = (config.client_sockets, config.backend_sockets);
+        assert!(clients * 3 <= sockets && clients * 5 >= sockets, "{clients} of {sockets}");
+        assert!(clients + backends < sockets && backends >= clients, "{clients} and {backends} of {sockets}");
+    }
+}
+
 #[test]
 fn idle_clients_do_not_keep_others_out() {
     let discovery = Discovery::start();
