Report an unreadable answer as the backend's error, not as a lost connection

Possible causes written down before: answers in a legal form that the client side cannot read (ruled out: none of these is legal); failed dials (ruled out: no connect before the failures); a close that crosses a request (ruled out: the bytes of the answer are there).

Cause: exchange in src/proxy/backends.rs turned every error of the exchange into a broken connection, and Fleet::attempt reported that as a reset. The module takes a reset on a connection that has rested as the rest's fault and stops trusting connections that rest, at the price of a handshake each. One that breaks off stays a reset, and before the request's last byte was written it still counts as never run.

Test: an_unreadable_answer_is_the_backends_error_and_a_missing_one_a_reset; the old code reports resets for the first three.

--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -394,6 +394,7 @@
                 self.ended(reply)
             }
             Err(Broken::TooLarge) => Outcome::Error.into(),
+            Err(Broken::Malformed) if all_written => Outcome::Error.into(),
             Err(Broken::Cancelled) if all_written => Outcome::Cancelled.into(),
             Err(Broken::Cancelled) => Outcome::Moot.into(),
             Err(Broken::TimedOut) if all_written => Outcome::Timeout.into(),
@@ -466,6 +467,8 @@
 /// Why an exchange gave no answer.
 enum Broken {
     Connection,
+    /// The backend answered, but nothing that can be read: no lost connection, and no rested one's fault.
+    Malformed,
     TooLarge,
     TimedOut,
     Cancelled,
@@ -476,7 +479,8 @@
     sender: &mut SendRequest<Full<Bytes>>,
     request: Request<Full<Bytes>>,
 ) -> Result<Reply, Broken> {
-    let response = sender.send_request(request).await.map_err(|_| Broken::Connection)?;
+    let broken = |error: hyper::Error| if error.is_parse() { Broken::Malformed } else { Broken::Connection };
+    let response = sender.send_request(request).await.map_err(broken)?;
     let (head, body) = response.into_parts();
     let body = Limited::new(body, BODY_CAP).collect().await.map_err(|error| {
         if error.is::<LengthLimitError>() { Broken::TooLarge } else { Broken::Connection }
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -2,10 +2,15 @@
 
 mod rig;
 
+use bytes::Bytes;
+use haventrack::api::{Outcome, Readiness};
+use haventrack::proxy::backends::{Call, Fleet};
 use haventrack::proxy::config::Config;
+use hyper::{HeaderMap, Method, Uri};
 use rig::*;
 use socket2::{Domain, Socket, Type};
 use std::io::Read;
+use std::rc::Rc;
 use std::sync::mpsc::{Sender, channel};
 
 /// What the module lets out to a lone backend at the start.
@@ -120,6 +125,34 @@
     }
 }
 
+/// case3576: an answer that can't be read was reported as a lost connection, for which the module blames the rest
+/// that the connection had.
+#[test]
+fn an_unreadable_answer_is_the_backends_error_and_a_missing_one_a_reset() {
+    let cases: [(&[u8], Outcome); 5] = [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 9\r\n\r\nabc", Outcome::Error),
+        (b"HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 3\r\n\r\nabc", Outcome::Error),
+        (b"garbage\r\n\r\n", Outcome::Error),
+        (b"", Outcome::Reset),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf", Outcome::Reset),
+    ];
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    for (bytes, outcome) in cases {
+        let backend = Backend::start(move |_| Reply::WriteAndClose(bytes.to_vec()));
+        let ended = tokio::task::LocalSet::new().block_on(&runtime, async {
+            let fleet = Fleet::new(10, 5_000_000, 10_000_000, Vec::new());
+            fleet.update(1, backend.address, Readiness::Ready, None);
+            let server = fleet.server(1).expect("the backend");
+            let (method, target) = (Method::GET, Uri::from_static("/read"));
+            let call = Call { method, target, headers: HeaderMap::new(), body: Bytes::new() };
+            let (_cancel, cancelled) = tokio::sync::oneshot::channel();
+            let give_up = tokio::time::Instant::now() + PATIENCE;
+            fleet.attempt(server, Rc::new(call), give_up, cancelled).await
+        });
+        assert_eq!(ended.outcome, outcome, "{}", String::from_utf8_lossy(bytes));
+    }
+}
+
 #[test]
 fn only_the_mark_tells_that_a_request_was_turned_away() {
     for (more, status, attempts) in
