End a trial that was lost on a rested connection, so that its server gets another

Four servers hang at 5.7 s; with every attempt logged one proxy sends its last trial to two of them at 8.0 s and never another, the second proxy does the same to two others, while the same servers answer the other proxy again from 16.2 s on.

Cause: Balancer::observe in src/balancer.rs. A loss on a connection that had rested is put down to the rest and ends there, before judge_health. If that attempt was the trial of an ejected server, trial_out stayed set and Balancer::available let nothing more through, for the life of the proxy. A hung server's connections have always rested. The trial is now over, so the next request may try on a new connection. The same exit for attempts that were never sent (Moot) already did so; no other path leaves the function early.

Test: a_trial_lost_on_a_rested_connection_is_followed_by_another; on the old code there is no second trial.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -703,10 +703,13 @@
             Outcome::Moot => false,
         };
         let lost = matches!(end.outcome, Outcome::Timeout | Outcome::Reset) && failed;
-        if lost && self.blame_rest(now, to.rested) {
+        let excused = lost && self.blame_rest(now, to.rested);
+        let server = &mut self.servers[index];
+        if excused {
+            // Nor has it failed its trial: without another one an ejected server would stay out for good.
+            server.trial_out = false;
             return;
         }
-        let server = &mut self.servers[index];
         let target = f64::from(u8::from(failed));
         server.failures += (target - server.failures) * FAILURE_WEIGHT;
         self.judge_health(now, index, failed, out);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -345,6 +345,29 @@
     assert!(trial, "the ejection ends with a keyed request");
 }
 
+/// rae0cf4: the trial of a hung server went out on a connection that had rested, its loss was put down to that, and
+/// the trial counted as being out for good: the server was never used again.
+#[test]
+fn a_trial_lost_on_a_rested_connection_is_followed_by_another() {
+    let mut proxy = Proxy::new(single_zone(), one_zone(3));
+    let broken = sent_to(&proxy.request(request(0, 4))).expect("there is room");
+    proxy.settle(0, 0, Outcome::Reset);
+    for id in 1..100 {
+        proxy.request(request(id, 4));
+        for (id, attempt, server) in proxy.out() {
+            proxy.settle(id, attempt, if server == broken { Outcome::Reset } else { Outcome::Ok });
+        }
+    }
+    for round in 1..3 {
+        proxy.advance(4 * SECOND);
+        (0..20).for_each(|n| _ = proxy.request(request(round * 1000 + n, 4)));
+        assert_eq!(proxy.in_flight(broken), 1, "trial {round}");
+        for (id, attempt, server) in proxy.out() {
+            proxy.settle(id, attempt, if server == broken { Outcome::Reset } else { Outcome::Ok });
+        }
+    }
+}
+
 fn closed(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::CloseIdle(_)))
 }
