End ejections after two seconds at most instead of sixteen

Cause: Balancer::judge_health in src/balancer.rs doubles an ejection up to 2^4 times (MAX_STRIKES). The troubles last 6.5 to 24 s, so a server was out for up to as long again after its recovery. It now doubles once.

Test: an_ejected_server_is_back_within_seconds_of_its_recovery; with four doublings a server that failed for twenty seconds gets nothing in the four seconds after.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -51,9 +51,9 @@
 /// failure may do: where connections break now and then, every server would be out for most of the time.
 const FAILURE_WEIGHT: f64 = 0.25;
 const EJECT_AT: f64 = 0.5;
-/// First ejection; each further one lasts twice as long, up to 2^4 times.
+/// First ejection; a further one lasts twice as long, but no more: it should end soon after what it is for.
 const EJECTION: Micros = SECOND;
-const MAX_STRIKES: u32 = 4;
+const MAX_STRIKES: u32 = 1;
 /// Part of the servers that may be ejected at once.
 const MAX_EJECTED: f64 = 0.6;
 /// An attempt is overdue at this multiple of its class's mean latency, between these parts of its aim.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -368,6 +368,24 @@
     }
 }
 
+/// rae0cf4: ejections doubled up to sixteen seconds, so that a server that had failed for some seconds was out for
+/// as long again after it was well.
+#[test]
+fn an_ejected_server_is_back_within_seconds_of_its_recovery() {
+    let mut proxy = Proxy::new(single_zone(), one_zone(3));
+    let mut back = false;
+    for id in 0..2400 {
+        let well = id >= 2000;
+        proxy.request(request(id, 4));
+        for (id, attempt, server) in proxy.out() {
+            back |= well && server == 2;
+            proxy.settle(id, attempt, if server == 2 && !well { Outcome::Error } else { Outcome::Ok });
+        }
+        proxy.advance(10 * MS);
+    }
+    assert!(back, "it failed for twenty seconds and has been well for four");
+}
+
 fn closed(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::CloseIdle(_)))
 }
