Send a server one request at a time after a silent time-out, until it answers

In the logged play two or three sent at 5.7 s time out 0.8 s later, and at that very moment up to six more go to the same server, all lost, before it is ejected.

Possible causes: the ejection needs too many failures (it needs three, so that a lost connection ejects nobody; the first batch is often two); the mark of silence is lost: confirmed.

Cause: Balancer::send in src/balancer.rs restarts the silence of a server that has nothing out. When the first batch has timed out that is so, and the server looks as good as one that has just answered, with a whole limit of room. Silence now goes on over a time-out until the server answers: the next request is a test, and available lets no other through beside it. No other line resets the silence but an answer.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -572,7 +572,7 @@
                 server.cold = None;
             }
         }
-        if server.in_flight == 0 {
+        if server.in_flight == 0 && !server.unanswered {
             server.silent_since = now;
         }
         server.trial_out = server.ejected_until.is_some();
@@ -670,6 +670,7 @@
         server.in_flight = server.in_flight.saturating_sub(1);
         self.in_flight = self.in_flight.saturating_sub(1);
         let silent = server.silent_since <= to.sent_at;
+        server.unanswered = silent && end.outcome == Outcome::Timeout;
         if end.outcome == Outcome::Moot {
             // It was never sent: another request may be the trial of an ejected server.
             server.trial_out = false;
--- a/src/state.rs
+++ b/src/state.rs
@@ -44,6 +44,8 @@
     pub(crate) failures: f64,
     /// Since when it owes an answer without having given any.
     pub(crate) silent_since: Micros,
+    /// Its latest request ran out of time in that silence: until it answers, it gets one at a time.
+    pub(crate) unanswered: bool,
     pub(crate) ejected_until: Option<Micros>,
     pub(crate) strikes: u32,
     /// It turned a request away and until then counts as having no room.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -386,6 +386,24 @@
     assert!(back, "it failed for twenty seconds and has been well for four");
 }
 
+/// rae0cf4: once the first requests to a hung server had timed out, it owed nothing, looked as good as new and got a
+/// whole limit of requests to lose before it was ejected.
+#[test]
+fn a_server_that_let_a_request_time_out_gets_one_at_a_time_until_it_answers() {
+    let mut proxy = Proxy::new(single_zone(), one_zone(2));
+    load(&mut proxy, 0, 200, 3, |_| 30 * MS);
+    proxy.out().iter().for_each(|o| _ = proxy.settle(o.0, o.1, Outcome::Ok));
+    let hung = sent_to(&proxy.request(Request { patience: 300 * MS, ..request(5000, 0) }));
+    let hung = hung.expect("there is room");
+    proxy.advance(310 * MS);
+    assert!(proxy.requests[&5000].ended, "it has timed out");
+    (6000..6020).for_each(|id| _ = proxy.request(request(id, 0)));
+    assert_eq!(proxy.in_flight(hung), 1);
+    proxy.out().iter().for_each(|o| _ = proxy.settle(o.0, o.1, Outcome::Ok));
+    (7000..7020).for_each(|id| _ = proxy.request(request(id, 0)));
+    assert!(proxy.in_flight(hung) > 1, "it answered");
+}
+
 fn closed(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::CloseIdle(_)))
 }
