Keep a connection whose TCP_NODELAY can't be set instead of counting it as failed

Ruled out: the backends' cap on connections and dials that run out of time (every connect came up, within 0.9 ms); the proxy's own cap on sockets (`make_room` never said no); errors of the exchange (none logged); health judged wrongly (13,435 attempts did end as ConnectFailed, each 0.2 to 0.9 ms after its send).

At fault: `dial` in src/proxy/backends.rs took any failure to set the option, which only saves time, for a failed connection: it closed a connection that had paid its handshake, told the module ConnectFailed, and three of those ejected a sound server. `dial` in src/proxy/discovery.rs had the same line. The clients' side never minded.

The test gives the connection a socket that refuses the option; it fails on the old line.

--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -187,6 +187,22 @@
     _counted: Counted,
 }
 
+impl Conn {
+    /// Speaks HTTP over a stream that has come up.
+    async fn over(stream: TcpStream, life: u64, counted: Counted) -> Option<Self> {
+        // A socket that can't take the option still carries requests: no failure of the backend's.
+        let _ = stream.set_nodelay(true);
+        let wire = Rc::new(Wire { stream, written: Cell::new(0) });
+        let io = TokioIo::new(WireIo(Rc::clone(&wire)));
+        let (sender, connection) = http1::handshake(io).await.ok()?;
+        let task = tokio::task::spawn_local(async move {
+            // How it ended shows in the exchange that was on it.
+            let _ = connection.await;
+        });
+        Some(Self { sender, wire, task, life, _counted: counted })
+    }
+}
+
 impl Drop for Conn {
     fn drop(&mut self) {
         self.task.abort();
@@ -330,15 +346,7 @@
         let life = server.life.get();
         let until = until.min(Instant::now() + self.dial_timeout);
         let stream = timeout_at(until, TcpStream::connect(server.address.get())).await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
-        let wire = Rc::new(Wire { stream, written: Cell::new(0) });
-        let io = TokioIo::new(WireIo(Rc::clone(&wire)));
-        let (sender, connection) = http1::handshake(io).await.ok()?;
-        let task = tokio::task::spawn_local(async move {
-            // How it ended shows in the exchange that was on it.
-            let _ = connection.await;
-        });
-        Some(Conn { sender, wire, task, life, _counted: counted })
+        Conn::over(stream, life, counted).await
     }
 
     /// Keeps a connection for the next attempt once it is free again.
@@ -515,3 +523,40 @@
         request.headers().iter().map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
     (line + fields.sum::<usize>() + "\r\n".len() + body) as u64
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::os::fd::OwnedFd;
+    use std::os::unix::net::UnixStream;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    /// A stream whose socket refuses TCP_NODELAY, as one may that has only just come up, and its peer.
+    fn without_nodelay() -> io::Result<(TcpStream, tokio::net::UnixStream)> {
+        let (near, far) = UnixStream::pair()?;
+        near.set_nonblocking(true)?;
+        far.set_nonblocking(true)?;
+        let near = TcpStream::from_std(std::net::TcpStream::from(OwnedFd::from(near)))?;
+        assert!(near.set_nodelay(true).is_err(), "this socket was to refuse the option");
+        Ok((near, tokio::net::UnixStream::from_std(far)?))
+    }
+
+    #[tokio::test]
+    async fn a_connection_that_refuses_nodelay_still_carries_a_request() {
+        let serve = tokio::task::LocalSet::new();
+        let exchanged = serve.run_until(async {
+            let (near, mut far) = without_nodelay().expect("a pair of sockets");
+            let conn = Conn::over(near, 0, Counted::new(&Rc::default())).await;
+            let mut conn = conn.expect("the connection is up whatever options it takes");
+            tokio::task::spawn_local(async move {
+                let mut head = [0; 1_024];
+                let _ = far.read(&mut head).await;
+                let _ = far.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await;
+                std::future::pending::<()>().await;
+            });
+            exchange(&mut conn.sender, Request::new(Full::default())).await
+        });
+        let reply = exchanged.await.ok().expect("an answer");
+        assert_eq!((reply.status, reply.body.as_ref()), (StatusCode::OK, b"ok".as_slice()));
+    }
+}
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -394,7 +394,7 @@
 
 async fn dial(address: SocketAddr) -> Option<Conn> {
     let stream = TcpStream::connect(address).await.ok()?;
-    stream.set_nodelay(true).ok()?;
+    let _ = stream.set_nodelay(true);
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     let task = tokio::task::spawn_local(async move {
         let _ = connection.await;
