Let two tests wait for the close they rely on instead of racing it

Symptom: in eight runs of the test command two failed, each in a different test of tests/proxy. One let a backend close its connection after its answer had already gone out, so that the next request could cross the close and end as a reset. The other dropped a client's connection and took an answer on a second connection as the sign that the proxy had seen it go; under load the second one's bytes can come first. The backend's stand-in now tells of a request that it closes on only after the close, and the test of the leaving client waits until the proxy ends that connection.

No code of the proxy is changed.

--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -231,8 +231,8 @@
     leaver.send(&request("charge", "2", "x"));
     // The answers on other connections show that the proxy has seen what came before them.
     assert_eq!(proxy.client().ask(UP).status(), 200);
-    drop(leaver);
-    assert_eq!(proxy.client().ask(UP).status(), 200);
+    leaver.stream.shutdown(std::net::Shutdown::Write).expect("the connection is up");
+    assert!(leaver.ends_cleanly(), "the proxy has seen it leave");
     for (release, client) in releases.iter().zip(first.iter_mut().rev()) {
         release.send(()).expect("the backend waits");
         assert_eq!(client.receive().status(), 200);
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -114,6 +114,13 @@
                     while let Some(mut request) = read_message(&mut reader) {
                         request.connection = connection;
                         let reply = script.lock().expect("a script")(&request);
+                        // A close has happened by the time that the test hears of its request.
+                        if matches!(reply, Reply::WriteAndClose(_)) {
+                            carry_out(reply, &mut stream);
+                            let _ = stream.shutdown(std::net::Shutdown::Both);
+                            let _ = told.send(request);
+                            return;
+                        }
                         let _ = told.send(request);
                         if !carry_out(reply, &mut stream) {
                             let _ = stream.shutdown(std::net::Shutdown::Both);
