Judge a cold server's budget by what its own kind takes, not by the fleet's mean

Ruled out: too high a limit (0.9 for the whole fleet) and too high a margin (the fast kind's cold servers, on the same margin, stood at 90 ms).

At fault: `cold_tokens` in src/balancer.rs guesses a newcomer's capacity from the requests this proxy has served, over all servers, although its comment speaks of a warm server of the same size. What a kind has served is now counted for each kind, over its ready servers; until something was served it takes the kind's own latency.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -116,8 +116,6 @@
     /// How long a connection may have rested and is still used, as of a point in time.
     rest: (f64, Micros),
     pool: Pool,
-    /// Requests served a second.
-    served: PeakRate,
     subscribe_failures: u32,
 }
 
@@ -132,7 +130,9 @@
         let kinds = usize::from(settings.kinds).max(1);
         let latencies = settings.classes.iter().flat_map(|c| vec![latency(c.aim); kinds]).collect();
         let window = Window { since: now, ..Window::default() };
-        let common = CommonLimit { limit: INITIAL_LIMIT, growing: true, window, service: 0.0 };
+        let served = PeakRate { count: 0.0, since: now, peak: 0.0 };
+        let common =
+            CommonLimit { limit: INITIAL_LIMIT, growing: true, window, service: 0.0, served, ready: 0 };
         let share = f64::from(settings.balancers);
         let bucket =
             |t: &crate::api::Tenant| Bucket { tokens: t.allowance_per_s / share, at: now, asked: 0.0 };
@@ -150,7 +150,6 @@
             retry_tokens: RETRY_BURST,
             rest: (settings.permissions.conn_idle as f64, now),
             pool: Pool { slots: 0.0, spread: 1.0, most: u32::MAX, judged_at: None },
-            served: PeakRate { count: 0.0, since: now, peak: 0.0 },
             subscribe_failures: 0,
             settings,
         })
@@ -200,6 +199,10 @@
         }
         self.ready.clear();
         self.ready.extend((0..self.servers.len()).filter(|&s| self.servers[s].ready));
+        for (kind, common) in self.kinds.iter_mut().enumerate() {
+            let alike = |&&s: &&usize| usize::from(self.servers[s].kind) == kind;
+            common.ready = self.ready.iter().filter(alike).count();
+        }
         self.place_dithers();
         self.serve_held(now, out);
     }
@@ -547,13 +550,15 @@
     }
 
     /// The tokens that a cold server's budget holds now. Its capacity is judged from what a warm server of
-    /// its size takes: the best seconds of this proxy, for all proxies, over all servers.
+    /// its kind takes: the best seconds of this proxy, for all proxies, over all servers of the kind.
     fn cold_tokens(&self, now: Micros, server: &Server, cold: &ColdBudget) -> f64 {
         let safety = &self.settings.safety;
         let age = now.saturating_sub(cold.started) as f64 / safety.cold_time.max(1) as f64;
         let part = safety.cold_from + (1.0 - safety.cold_from) * age.min(1.0);
-        let bank = self.served.peak * f64::from(self.settings.balancers) / self.ready.len().max(1) as f64;
-        let single = SECOND as f64 / self.mean(0);
+        let kind = usize::from(server.kind);
+        let (served, alike) = (self.kinds[kind].served.peak, self.kinds[kind].ready.max(1));
+        let bank = served * f64::from(self.settings.balancers) / alike as f64;
+        let single = SECOND as f64 / self.latencies[kind].mean;
         let rate =
             (safety.fall_multiple * COLD_MARGIN).min(1.0) * part * bank.max(single) * self.share(server);
         (cold.tokens + rate * (now - cold.filled_at) as f64 / SECOND as f64).min(1.0_f64.max(rate / 4.0))
@@ -690,7 +695,7 @@
         let failed = match end.outcome {
             Outcome::Ok => {
                 latency.add(elapsed);
-                self.served.add(now);
+                self.kinds[kind].served.add(now);
                 server.silent_since = now;
                 false
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -121,6 +121,10 @@
     /// The mean service time that its servers' load reports tell, milliseconds; 0: none yet.
     pub(crate) service: f64,
     pub(crate) window: Window,
+    /// Requests served a second by all of its servers.
+    pub(crate) served: PeakRate,
+    /// Its servers that may be sent to.
+    pub(crate) ready: usize,
 }
 
 /// Latencies of a class on one kind of machine.
@@ -138,6 +142,7 @@
 }
 
 /// Events a second: the best four seconds so far, fading. A single second of a small proxy says too much.
+#[derive(Clone)]
 pub(crate) struct PeakRate {
     pub(crate) count: f64,
     pub(crate) since: Micros,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -217,3 +217,36 @@
     let most = most.max().expect("a cold server gets something");
     assert!(most > 0 && (most as f64) < budget, "{most} sends in the fall time, {budget} allowed");
 }
+
+/// join+vast: a cold server's budget came from what the servers of all kinds took on the mean, which drowned the
+/// cold ones of the slow kind.
+#[test]
+fn a_cold_servers_budget_is_judged_by_its_own_kind() {
+    let mut settings = settings();
+    (settings.zones, settings.kinds) = (1, 2);
+    let slow = |id: BackendId| id >= 4;
+    let listed = |id: BackendId| Backend { zone: 0, kind: u8::from(slow(id)), ..backend(id) };
+    let mut proxy = Proxy::new(settings, (0..10).map(listed));
+    let mut sends = [0; 10];
+    for id in 0..2_400 {
+        if id == 2_000 {
+            sends = [0; 10];
+            let started = Some(proxy.now);
+            let restarted: Vec<Backend> = (7..10).map(|id| Backend { started, ..listed(id) }).collect();
+            proxy.list(Membership::Delta(&restarted));
+        }
+        proxy.advance(5 * MS);
+        let busy: Vec<usize> = (0..10).map(|id| proxy.in_flight(id)).collect();
+        let work = |id: BackendId| if slow(id) { 160 * MS } else { 40 * MS };
+        proxy.serve(|id| work(id) * (busy[id as usize] as Micros).max(2) / 2);
+        if let Some(server) = sent_to(&proxy.request(request(id, 0))) {
+            sends[server as usize] += 1;
+        }
+    }
+    let (warm, cold) = (sends[4..7].iter().sum::<u32>(), sends[7..].iter().sum::<u32>());
+    assert!(warm > 30 && cold > 0, "all of them carry something: {sends:?}");
+    assert!(
+        cold * 10 <= warm * 3,
+        "a cold one may carry a part of what a warm one of its kind does: {sends:?}"
+    );
+}
