Let a cold server's token count as a slot there, so that all proxies spend its budget

Evidence: sends and latencies logged by kind and age. At 12 to 16 s ten warm fast servers carried 45 requests a second each, eight in flight, mean 190 ms; 24 cold fast ones got 2.8 a second each, 0.2 in flight, mean 55 ms. At each refusal the proxy held tokens for 15 to 34 cold servers.

Ruled out: a budget too small as such (rates of 7 a second were due to each server, 2.8 came) and limits that a slow start had cut (0.13 to 0.18 for each proxy, the same as on warm servers).

At fault: in `pick` (src/balancer.rs) a cold server needed both a token and a whole slot. The budget is divided among all proxies, but a hundred of them round their limit of 0.15 to a slot on one server in ten, so nine tenths of each budget belonged to proxies that could never send there. A token now is a slot, for requests within their tenant's share: the token's period spreads the proxies as the dither does.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -492,7 +492,8 @@
         }
         // The server with most of its limit left although no whole slot, for a proxy that has nothing out.
         let mut spare: Option<(f64, usize)> = None;
-        let part = self.pool.spread * if open.over_share { OVER_SHARE_LIMIT } else { 1.0 };
+        let over_share = open.over_share;
+        let part = self.pool.spread * if over_share { OVER_SHARE_LIMIT } else { 1.0 };
         let overdue = self.overdue(open.class);
         let repeatable = self.settings.classes[open.class].effect != Effect::Unsafe;
         let mut best: [Option<(i64, usize)>; 2] = [None, None];
@@ -511,7 +512,10 @@
             {
                 continue;
             }
-            let room = server.slots(part) - i64::from(server.in_flight);
+            // Departure: a token of a cold server is a slot there. Its budget is divided among all
+            // proxies, and the few with a whole slot could not spend it.
+            let least = i64::from(server.cold.is_some() && !over_share);
+            let room = server.slots(part).max(least) - i64::from(server.in_flight);
             let left = server.limit * part + server.dither;
             if self.in_flight == 0 && left > spare.map_or(0.0, |(most, _)| most) {
                 spare = Some((left, index));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -218,6 +218,33 @@
     assert!(most > 0 && (most as f64) < budget, "{most} sends in the fall time, {budget} allowed");
 }
 
+/// join+vast: each of a hundred proxies had its part of a newcomer's budget, and only the tenth of them with a whole
+/// slot there could spend it. The newcomers idled while the warm servers drowned.
+#[test]
+fn most_proxies_of_a_large_bank_spend_their_part_of_a_cold_servers_budget() {
+    let mut settings = settings();
+    (settings.zones, settings.balancers) = (1, 40);
+    let mut senders = 0;
+    for me in 0..40 {
+        let fleet = (0..20).map(|i| Backend { zone: 0, ..backend(i) });
+        let mut proxy = Proxy::new(Settings { me, ..settings.clone() }, fleet);
+        let mut sent_there = false;
+        for id in 0..400 {
+            if id == 100 {
+                let started = Some(proxy.now);
+                proxy.list(Membership::Delta(&[Backend { zone: 0, started, ..backend(3) }]));
+            }
+            proxy.advance(40 * MS);
+            proxy.serve(|_| 40 * MS);
+            sent_there |= sent_to(&proxy.request(request(id, 0))) == Some(3)
+                && id >= 100
+                && proxy.now < proxy.servers[&3].started.unwrap_or_default() + 9 * SECOND;
+        }
+        senders += usize::from(sent_there);
+    }
+    assert!(senders > 20, "{senders} of 40 proxies sent anything to the newcomer while it was cold");
+}
+
 /// join+vast: a cold server's budget came from what the servers of all kinds took on the mean, which drowned the
 /// cold ones of the slow kind.
 #[test]
