Leave the latencies of cold servers out of their kind's limit

Evidence: at the refusals the limit of the fast kind fell from 2.3 for the whole fleet at 12 s to 1.0 at 19 s, while warm servers of the kind answered in 60 to 100 ms and cold ones in 90 to 220.

Ruled out: hung and failing servers (15 time-outs in those five seconds) and the warm servers' own latency.

At fault: `observe` in src/balancer.rs gave the kind's window every sample, also those of servers at a third to a half of their capacity. The kind's limit is what a warm server takes, and all servers without own samples have it. Cold servers keep their own windows and their budget.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -725,8 +725,9 @@
         server.failures += (target - server.failures) * FAILURE_WEIGHT;
         self.judge_health(now, index, failed, out);
         // Errors and lost connections say nothing of how crowded the servers of a kind are.
+        let is_cold = self.servers[index].cold.is_some();
         let broken = matches!(end.outcome, Outcome::Error | Outcome::ConnectFailed | Outcome::Reset);
-        if !broken {
+        if !broken && !is_cold {
             self.judge_kind(now, kind, sample.min(SAMPLE_CAP));
         }
         self.judge_window(now, index, sample.min(SAMPLE_CAP));
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -559,3 +559,27 @@
     let mean = (0..50).map(|n| out(n * 2)).sum::<usize>() as f64 / 50.0;
     assert!(mean > 1.5, "{mean} requests out at a time where the far zone's limits allow two");
 }
+
+/// join+vast: the slow answers of servers that were still cold cut the limit of their whole kind, and with it what the
+/// warm ones got.
+#[test]
+fn the_latency_of_cold_servers_does_not_lower_their_kinds_limit() {
+    let out_with = |cold_latency: Micros| -> usize {
+        let run = |me: u32| {
+            let settings = Settings { me, balancers: 100, ..single_zone() };
+            let started = Some(SECOND);
+            let fleet = one_zone(40).into_iter();
+            let fleet = fleet.map(|b| Backend { started: started.filter(|_| b.id >= 10), ..b });
+            let mut proxy = Proxy::new(settings, fleet);
+            for id in 0..250 {
+                proxy.request(request(id, 0));
+                proxy.advance(30 * MS);
+                proxy.serve(|id| if id >= 10 { cold_latency } else { 40 * MS });
+            }
+            burst(&mut proxy, 10_000, 20)
+        };
+        (0..20).map(run).sum()
+    };
+    let (quick, slow) = (out_with(40 * MS), out_with(450 * MS));
+    assert!(slow * 4 >= quick * 3, "{slow} requests out at a time, {quick} where the cold servers are quick");
+}
