Raise a kind's limit by one request a window, not by a factor, so that shares converge

Evidence: every judgement of a kind's limit, logged. The proxies' limits for the fast kind drift apart: a tenth below 1.05, the median at 3.1 and a tenth above 9.5 at 4 s; below 0.8, 1.7 and 11 at 22 s, a quarter at the floor. A proxy at the floor gets few samples and judges a window every three to four seconds.

Ruled out: different latencies (the mean sample was 0.7 to 0.8 of the bound everywhere) and windows that hardly ever fill (six samples in 0.5 s for most).

At fault: `judge_kind` in src/balancer.rs multiplied by 1.15 below the bound and by 0.7 above it. With both steps a factor the ratio of two proxies' limits never shrinks, whoever has little keeps little; the design asks for a rise by 1, as a server's own limit has it. The rise now is one request, or the part for large limits where that is more.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -789,7 +789,8 @@
             common.growing = false;
             common.limit *= BACKOFF_RATIO;
         } else if common.window.filled {
-            common.limit *= if common.growing { 2.0 } else { 1.0 + LARGE_STEP };
+            let step = if common.growing { common.limit } else { 1.0_f64.max(common.limit * LARGE_STEP) };
+            common.limit += step;
         }
         common.limit = common.limit.clamp(MIN_LIMIT, MAX_LIMIT);
         let limit = common.limit;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -583,3 +583,18 @@
     let (quick, slow) = (out_with(40 * MS), out_with(450 * MS));
     assert!(slow * 4 >= quick * 3, "{slow} requests out at a time, {quick} where the cold servers are quick");
 }
+
+/// join+vast: a kind's limit rose by a factor and fell by one, so that the proxies' limits drifted apart for good and
+/// those at the floor refused what others' servers had room for.
+#[test]
+fn a_kinds_limit_that_was_cut_rises_by_a_request_each_window() {
+    let settings = Settings { balancers: 20, ..single_zone() };
+    let mut proxy = Proxy::new(settings, one_zone(20));
+    load(&mut proxy, 0, 600, 2, |_| 300 * MS);
+    proxy.out().iter().for_each(|o| _ = proxy.settle(o.0, o.1, Outcome::Ok));
+    let cut = burst(&mut proxy, 10_000, 60);
+    load(&mut proxy, 20_000, 400, 2, |_| 40 * MS);
+    proxy.out().iter().for_each(|o| _ = proxy.settle(o.0, o.1, Outcome::Ok));
+    let risen = burst(&mut proxy, 30_000, 60);
+    assert!(risen >= cut + 9, "{cut} at once after slow answers, {risen} after some quick seconds");
+}
