Spread calls to discovery over a turn for each proxy of the bank

Evidence: with the watch begun at the known revision, 14 of 100 first calls were answered in two seconds, 86 failed after 2,000 ms, and from then on 7 to 120 calls a second failed, at once or after the full wait; of the 70 proxies that restarted at 13 s not one was answered in eight seconds. With a wait after a failure that grows with the bank, and nothing else, the calls after the first collision succeeded: failed calls cost discovery too.

Ruled out: a discovery too small for the bank as such (it answers 60 to 100 calls a second with a few lines each once it is not asked in vain) and the length of a watch.

At fault: `resubscribe_later` in src/balancer.rs waits an eighth of a second to four seconds whatever the number of proxies, 20 calls a second from a hundred at its slowest, and `on_membership` asks at once at the start, when a release or a crash starts many together. Both now take a turn that grows with the bank (a tenth of a second for each proxy, at most the time that an unasked list counts as current). Two proxies ask as before, at their start within a tenth of a second; a proxy that knows no server asks at once.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -72,6 +72,8 @@
 /// this part of the aim at the least.
 const CHANCE_SLOTS: f64 = 16.0;
 const CHANCE_WAIT: f64 = 0.125;
+/// How long discovery has for each proxy, before it is asked again by all of them.
+const DISCOVERY_TURN: Micros = SECOND / 10;
 /// Servers that a proxy spreads its requests over, at the least, where its limits add up to fewer slots.
 const MIN_SPREAD: f64 = 3.0;
 /// Part of a server's limit that requests beyond their tenant's share may fill.
@@ -184,7 +186,11 @@
             Membership::Full(entries) => (entries, true),
             Membership::Cached(entries) => {
                 if self.settings.discovery_on_request {
-                    out.push(Action::Subscribe);
+                    // The proxies of a bank often start together; only what knows no server can't wait.
+                    let can_wait = entries.iter().any(|e| e.readiness == Readiness::Ready);
+                    let turn = if can_wait { self.discovery_turn() / 2 } else { 0 };
+                    let after = self.rng.u64(0..=turn);
+                    out.push(Action::SetTimer { after, token: TIMER_SUBSCRIBE });
                 }
                 (entries, true)
             }
@@ -221,9 +227,15 @@
         }
     }
 
+    /// The time in which each of the proxies may ask discovery once. It is one service of fixed capacity for
+    /// all of them, and calls that fail for waiting too long cost it as well: asked faster it answers nobody.
+    fn discovery_turn(&self) -> Micros {
+        (Micros::from(self.settings.balancers) * DISCOVERY_TURN).min(self.settings.safety.ask_within)
+    }
+
     /// A call failed or the subscription broke: ask again, later each time and not all proxies at once.
     fn resubscribe_later(&mut self, out: &mut Vec<Action>) {
-        let wait = (SECOND / 8) << self.subscribe_failures.min(4);
+        let wait = ((SECOND / 8) << self.subscribe_failures.min(4)).max(self.discovery_turn());
         self.subscribe_failures += 1;
         let after = wait + self.rng.u64(0..=wait);
         out.push(Action::SetTimer { after, token: TIMER_SUBSCRIBE });
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -111,7 +111,12 @@
 
 impl Proxy {
     pub fn new(settings: Settings, servers: impl IntoIterator<Item = Backend>) -> Self {
-        let balancer = Balancer::new(settings.clone(), 7, SECOND).expect("the settings make sense");
+        Self::with_seed(7, settings, servers)
+    }
+
+    /// One of several proxies whose chances differ.
+    pub fn with_seed(seed: u64, settings: Settings, servers: impl IntoIterator<Item = Backend>) -> Self {
+        let balancer = Balancer::new(settings.clone(), seed, SECOND).expect("the settings make sense");
         let mut proxy = Proxy {
             now: SECOND,
             settings,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -286,6 +286,7 @@
 fn in_ask_mode_it_subscribes_and_tries_again_after_a_failure() {
     let mut proxy = Proxy::new(Settings { discovery_on_request: true, ..settings() }, []);
     let asked = |proxy: &Proxy| proxy.log.iter().filter(|(_, a)| *a == Action::Subscribe).count();
+    proxy.advance(5 * MS);
     assert_eq!(asked(&proxy), 1);
     for failures in 1..6 {
         proxy.list(Membership::Failed);
@@ -598,3 +599,31 @@
     let risen = burst(&mut proxy, 30_000, 60);
     assert!(risen >= cut + 9, "{cut} at once after slow answers, {risen} after some quick seconds");
 }
+
+/// herd+vast: a hundred proxies began together and asked again within seconds of each failure. Discovery, busy with
+/// calls that failed for waiting too long, answered nobody.
+#[test]
+fn a_bank_asks_discovery_no_faster_for_being_large() {
+    let asked = |balancers: u32, time: Micros| {
+        let calls = (0..balancers).map(|me| {
+            let settings = Settings { me, balancers, discovery_on_request: true, ..settings() };
+            let mut proxy = Proxy::with_seed(me.into(), settings, one_zone(3));
+            let mut calls = Vec::new();
+            while proxy.now < SECOND + time {
+                proxy.advance(50 * MS);
+                let before = calls.len();
+                calls.extend(proxy.log.drain(..).filter(|(_, a)| *a == Action::Subscribe).map(|(at, _)| at));
+                (before..calls.len()).for_each(|_| _ = proxy.list(Membership::Failed));
+            }
+            calls
+        });
+        let mut calls: Vec<Micros> = calls.flatten().collect();
+        calls.sort_unstable();
+        let within = |&t: &Micros| calls.iter().filter(|&&u| u >= t && u < t + SECOND).count();
+        (calls.len(), calls.iter().map(within).max().unwrap_or_default())
+    };
+    let (all, most) = asked(100, 20 * SECOND);
+    assert!(all <= 300 && most <= 40, "a hundred proxies: {all} failed calls in 20 s, {most} in one");
+    let (all, most) = asked(2, 2 * SECOND);
+    assert!(all >= 4, "two proxies ask again soon: {all} calls in 2 s, {most} in one");
+}
