Spread a proxy's slots over the limits of all zones, not of its own alone

Evidence: refusals, sends and latencies logged. All refusals again came from proxies with 20 near and 40 far servers (a mean of 39.8 far ones). The crowded zone's fast servers took 40 to 46 a second at 107 to 160 ms, those of the other 8 to 16; 90 to 96% of the sends stayed near, with the sum of a proxy's near limits at 0.4.

At fault: `judge_pool` in src/balancer.rs spreads the near limits until they come to three slots, however little they are. With near slots first and two requests out at a time, the far servers' part of the bound was never used. The slots are now spread over the limits of all zones, so that the near ones are used up when their part of the bound is. A proxy with three slots or more in its own zone is not spread, as before.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -474,7 +474,7 @@
         let turn = (f64::from(self.settings.me) * GOLDEN).fract();
         self.pool.judged_at = Some(now);
         self.pool.slots = slots;
-        self.pool.spread = if slots > 0.0 { (MIN_SPREAD / slots).max(1.0) } else { 1.0 };
+        self.pool.spread = if all > 0.0 { (MIN_SPREAD / all).max(1.0) } else { 1.0 };
         let most = if self.pool.spread > 1.0 { (all + all.sqrt() + turn) as u32 } else { u32::MAX };
         self.pool.most = most.max(1);
     }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -561,6 +561,25 @@
     assert!(mean > 1.5, "{mean} requests out at a time where the far zone's limits allow two");
 }
 
+/// join+vast: the own zone's limits were spread to three slots however little they came to, so that all requests that
+/// a crowded zone's proxies had out stood on its servers, at three times the load of the other zone's.
+#[test]
+fn a_proxy_of_a_crowded_zone_has_a_part_of_its_requests_out_in_the_others() {
+    let far = |id: BackendId| id >= 20;
+    let (mut all, mut crossing) = (0, 0);
+    for me in (0..100).step_by(2) {
+        let settings = Settings { me, zone: 0, balancers: 100, ..settings() };
+        let fleet = (0..60).map(|id| Backend { zone: u16::from(far(id)), ..backend(id) });
+        let mut proxy = Proxy::with_seed(me.into(), settings, fleet);
+        all += burst(&mut proxy, 0, 3);
+        crossing += proxy.out().iter().filter(|o| far(o.2)).count();
+    }
+    assert!(
+        crossing * 5 >= all,
+        "{crossing} of {all} cross, where half of what the proxies may have out is there"
+    );
+}
+
 /// join+vast: the slow answers of servers that were still cold cut the limit of their whole kind, and with it what the
 /// warm ones got.
 #[test]
