Spend a cold server's token only where no warm server has a whole slot free

Ruled out: too large a budget as such (24 to 27 requests a second to a cold fast server, of some 30 that it can do).

At fault: in `pick` (src/balancer.rs) a token made a slot of the same rank as a whole one, so that a tie was drawn between a server at full capacity and one at a third of it. Tokens are now used after the whole slots of the own zone and of the others.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -509,8 +509,8 @@
         let part = self.pool.spread * if over_share { OVER_SHARE_LIMIT } else { 1.0 };
         let overdue = self.overdue(open.class);
         let repeatable = self.settings.classes[open.class].effect != Effect::Unsafe;
-        let mut best: [Option<(i64, usize)>; 2] = [None, None];
-        let mut ties = [0_u32; 2];
+        let mut best: [Option<(i64, usize)>; 3] = [None; 3];
+        let mut ties = [0_u32; 3];
         for i in 0..self.ready.len() {
             let index = self.ready[i];
             let server = &self.servers[index];
@@ -525,15 +525,16 @@
             {
                 continue;
             }
-            // Departure: a token of a cold server is a slot there. Its budget is divided among all
-            // proxies, and the few with a whole slot could not spend it.
-            let least = i64::from(server.cold.is_some() && !over_share);
-            let room = server.slots(part).max(least) - i64::from(server.in_flight);
+            // Departure: a token of a cold server is a slot there, if nothing warm has one. Its budget is
+            // divided among all proxies, and the few with a whole slot could not spend it.
+            let slots = server.slots(part);
+            let by_token = slots == 0 && server.cold.is_some() && !over_share;
+            let room = slots.max(i64::from(by_token)) - i64::from(server.in_flight);
             let left = server.limit * part + server.dither;
             if self.in_flight == 0 && left > spare.map_or(0.0, |(most, _)| most) {
                 spare = Some((left, index));
             }
-            let far = usize::from(!self.near(server));
+            let far = if by_token { 2 } else { usize::from(!self.near(server)) };
             if room <= 0 || best[far].is_some_and(|(most, _)| room < most) {
                 continue;
             }
@@ -544,7 +545,7 @@
         }
         // Departure: a proxy that holds no slot on any server would serve nobody. It may have one request
         // out.
-        best[0].or(best[1]).map(|(_, server)| server).or(spare.map(|(_, server)| server))
+        best[0].or(best[1]).or(best[2]).map(|(_, server)| server).or(spare.map(|(_, server)| server))
     }
 
     /// Whether a server may be chosen at all, apart from its room.
