--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -3,8 +3,8 @@
 //! The ordinary path: each proxy keeps, for every ready server, its requests in flight (IFR) and an AIMD
 //! limit. A request goes where room (limit - IFR) is greatest. When no server has room it is held for a
 //! tenth of its time left, then refused. Departures are marked `Departure:` with the condition under which
-//! they act; `docs/design.md` lists them. The four rules are kept in `scope` and `may_refuse` (effects),
-//! `answer` and `send` (one answer, nothing after it), `ready` (drains) and `ColdBudget` (cold servers).
+//! they act. The four rules are kept in `scope` and `may_refuse` (effects), `answer` and `send` (one answer,
+//! nothing after it), `ready` (drains) and `ColdBudget` (cold servers).
 
 use crate::api::{
     Action, Backend, BackendId, DedupGroup, Effect, Event, Membership, Micros, Outcome, Readiness, Request,
