Answer operators' calls and send clients away on standby

Design: a listener of its own at admin_addr, one line to a connection, a task a caller, at most eight callers at their line; one more ends the oldest, so holders keep nobody out. A yes is given once the call is in force.

Without admin_addr there is no listener. A connection that came while others were being closed was never told of a later drain (its mark was set at its start): with drains that come back that would matter.

--- a/src/bin/haventrack-proxy.rs
+++ b/src/bin/haventrack-proxy.rs
@@ -2,11 +2,13 @@
 #![forbid(unsafe_code)]
 
 use haventrack::balancer::Balancer;
+use haventrack::proxy::admin::Operations;
 use haventrack::proxy::backends::Fleet;
-use haventrack::proxy::clients::{Clients, Phase};
+use haventrack::proxy::clients::Clients;
 use haventrack::proxy::clock::Clock;
 use haventrack::proxy::config::Config;
 use haventrack::proxy::discovery::{Translator, Watcher};
+use haventrack::proxy::drain::Drain;
 use haventrack::proxy::driver::{Driver, Limits};
 use haventrack::proxy::log;
 use std::cell::Cell;
@@ -19,18 +21,9 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
-use tokio::time::{Instant, sleep, timeout_at};
 
 /// The kernel's queue of connections that are not accepted yet.
 const BACKLOG: u32 = 1_024;
-/// After SIGTERM, connections still come for a while: how long the proxy goes on at the least, and how long
-/// nobody must have connected.
-const DRAIN_LEAST: Duration = Duration::from_millis(800);
-const DRAIN_QUIET: Duration = Duration::from_millis(300);
-const DRAIN_STEP: Duration = Duration::from_millis(50);
-/// What the proxy takes beyond the longest deadline before it ends with clients still connected.
-const DRAIN_SLACK: Duration = Duration::from_millis(500);
-
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     // A restarted proxy takes its old address although connections of the old process linger.
@@ -77,8 +70,9 @@
     let subscriptions = asked.then_some(subscriptions);
     let mut watcher =
         Watcher::new(config.discovery, translator, handle.clone(), Rc::clone(&held), subscriptions);
+    let (drain, phases) = Drain::new();
+    let operations = Rc::new(Operations { drain: Rc::clone(&drain), held: Rc::clone(&held) });
     watcher.start_from(config.known);
-    let (phase, phases) = watch::channel(Phase::Running);
     let clients = Clients::new(handle, clock, &settings, &config.names, held, phases, config.client_sockets);
 
     let mut driver = tokio::task::spawn_local(driver.run());
@@ -86,30 +80,23 @@
     tokio::task::spawn_local(watcher.run(moves));
     tokio::task::spawn_local(fleet.sweep());
     tokio::task::spawn_local(Rc::clone(&clients).accept(listener));
+    if let Some(address) = config.admin {
+        let listener = listen(address).map_err(|e| format!("cannot listen on {address}: {e}"))?;
+        log(format_args!("operators call at {}", listener.local_addr()?));
+        tokio::task::spawn_local(operations.serve(listener));
+    }
     loop {
         tokio::select! {
             ended = &mut driver => return Err(format!("the driver ended: {ended:?}").into()),
             Some(()) = signals.reload.recv() => reload(&discovery),
             _ = signals.stop.recv() => {
-                drain(&clients, &phase, Duration::from_micros(longest)).await;
+                drain.stop(&clients, Duration::from_micros(longest)).await;
                 return Ok(());
             }
         }
     }
 }
 
-/// Finishes what was taken, and what still comes.
-async fn drain(clients: &Clients, phase: &watch::Sender<Phase>, longest: Duration) {
-    let began = Instant::now();
-    let _ = phase.send(Phase::Draining);
-    while began.elapsed() < DRAIN_LEAST || (clients.quiet() < DRAIN_QUIET && began.elapsed() < longest) {
-        sleep(DRAIN_STEP).await;
-    }
-    let _ = phase.send(Phase::Closing);
-    let end = began + longest + DRAIN_SLACK;
-    while clients.open() > 0 && timeout_at(end, clients.one_ended()).await.is_ok() {}
-}
-
 fn start() -> Result<(), Box<dyn Error>> {
     let config = Config::from_env()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
--- /dev/null
+++ b/src/proxy/admin.rs
@@ -0,0 +1,157 @@
+//! The operators' calls: one line to a connection, and one line in answer that begins with `200` or `400`.
+
+use super::drain::Drain;
+use super::log;
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+
+/// The longest call.
+const LINE_CAP: usize = 256;
+/// How long a caller may take for its line, and to read its answer.
+const LINE_WITHIN: Duration = Duration::from_secs(2);
+const ANSWER_WITHIN: Duration = Duration::from_secs(1);
+/// Callers that may be at their line at a time. One more ends the oldest: who holds a connection without a call
+/// keeps nobody else out, and no descriptors of the clients' are used.
+const MOST_CALLERS: usize = 8;
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether clients are taken.
+    Status,
+    /// Send clients away.
+    Standby,
+    /// Take clients again.
+    Active,
+}
+
+impl Call {
+    /// Reads a call.
+    ///
+    /// # Errors
+    /// Says what is wrong with the line.
+    pub fn parse(line: &str) -> Result<Self, String> {
+        let mut words = line.split_ascii_whitespace();
+        let (Some(word), id, None) = (words.next(), words.next(), words.next()) else {
+            return Err("expected a call and at most one id".into());
+        };
+        match (word, id) {
+            ("status", None) => Ok(Self::Status),
+            ("standby", None) => Ok(Self::Standby),
+            ("active", None) => Ok(Self::Active),
+            ("status" | "standby" | "active", Some(_)) => Err(format!("`{word}` takes no id")),
+            _ => Err("unknown call".into()),
+        }
+    }
+}
+
+/// What the calls act on.
+pub struct Operations {
+    /// The phases of the proxy.
+    pub drain: Rc<Drain>,
+    /// Whether a list of backends is held.
+    pub held: Rc<Cell<bool>>,
+}
+
+impl Operations {
+    /// Carries a call out. Its answer says yes only once it is in force.
+    fn carry_out(&self, call: &Call) -> Result<&'static str, String> {
+        match call {
+            Call::Status if self.drain.is_stopping() => Err("stopping".into()),
+            Call::Status if !self.drain.is_running() => Err("on standby".into()),
+            Call::Status if !self.held.get() => Err("no list of backends yet".into()),
+            Call::Status => Ok("serving"),
+            Call::Standby => {
+                self.drain.standby();
+                Ok("sending clients away")
+            }
+            Call::Active if self.drain.active() => Ok("taking clients"),
+            Call::Active => Err("stopping".into()),
+        }
+    }
+
+    async fn answer(self: Rc<Self>, mut stream: TcpStream, line: Result<String, String>) {
+        let done = match line.and_then(|line| Call::parse(&line)) {
+            Ok(call) => {
+                let done = self.carry_out(&call);
+                if call != Call::Status {
+                    log(format_args!("operators: {call:?}: {}", verdict(&done)));
+                }
+                done
+            }
+            Err(reason) => Err(reason),
+        };
+        let text = verdict(&done);
+        // A caller that does not read its answer has no claim to it.
+        let _ = timeout(ANSWER_WITHIN, async {
+            stream.write_all(text.as_bytes()).await?;
+            stream.write_all(b"\n").await?;
+            stream.shutdown().await
+        })
+        .await;
+    }
+
+    /// Answers calls for as long as the proxy runs.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        let mut at_line: VecDeque<AbortHandle> = VecDeque::new();
+        loop {
+            let mut stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    log(format_args!("accept of an operator's call: {error}"));
+                    sleep(ACCEPT_BACKOFF).await;
+                    continue;
+                }
+            };
+            at_line.retain(|caller| !caller.is_finished());
+            if at_line.len() >= MOST_CALLERS
+                && let Some(oldest) = at_line.pop_front()
+            {
+                oldest.abort();
+            }
+            let operations = Rc::clone(&self);
+            let caller = spawn_local(async move {
+                let line = timeout(LINE_WITHIN, read_line(&mut stream)).await;
+                let line = line.unwrap_or_else(|_| Err("no whole call in time".into()));
+                // Once its call is whole it is no longer in anybody's way.
+                spawn_local(operations.answer(stream, line));
+            });
+            at_line.push_back(caller.abort_handle());
+        }
+    }
+}
+
+fn verdict(done: &Result<&'static str, String>) -> String {
+    match done {
+        Ok(text) => format!("200 {text}"),
+        Err(reason) => format!("400 {reason}"),
+    }
+}
+
+/// One line without its end. The end of the connection ends the line as well.
+async fn read_line(stream: &mut TcpStream) -> Result<String, String> {
+    let (mut bytes, mut buffer) = (Vec::new(), [0; LINE_CAP]);
+    loop {
+        if let Some(end) = bytes.iter().position(|&b| b == b'\n') {
+            bytes.truncate(end);
+            break;
+        }
+        if bytes.len() > LINE_CAP {
+            return Err("the call is too long".into());
+        }
+        match stream.read(&mut buffer).await {
+            Ok(0) => break,
+            Ok(n) => bytes.extend_from_slice(&buffer[..n]),
+            Err(error) => return Err(format!("the call broke off: {error}")),
+        }
+    }
+    let line = String::from_utf8(bytes).map_err(|_| "the call is no text".to_owned())?;
+    Ok(line.trim().to_owned())
+}
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -3,6 +3,7 @@
 use super::backends::Call;
 use super::clock::Clock;
 use super::config::Names;
+use super::drain::Phase;
 use super::driver::{Answer, Handle, Inbound, Message};
 use super::{BODY_CAP, log};
 use crate::api::{Effect, Micros, RequestId, Settings};
@@ -54,17 +55,6 @@
 const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
 const WEIGHT_HINT: HeaderName = HeaderName::from_static("x-weight-hint");
 
-/// How far the proxy is on its way out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// It serves.
-    Running,
-    /// It serves, and each answer closes its connection.
-    Draining,
-    /// Idle connections close as well.
-    Closing,
-}
-
 struct Class {
     deadline: Micros,
     keyed: bool,
@@ -186,7 +176,8 @@
             .serve_connection(TokioIo::new(stream), service);
         let mut phase = self.phase.clone();
         // A connection that comes while the others are being closed still gets its answer; that closes it.
-        let mut told = *phase.borrow_and_update() == Phase::Closing;
+        phase.mark_unchanged();
+        let mut told = false;
         let mut shed = pin!(self.shed.notified());
         let mut is_shed = false;
         loop {
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -66,6 +66,8 @@
     pub listen: SocketAddr,
     /// Where discovery listens.
     pub discovery: SocketAddr,
+    /// Where operators call; `None`: nowhere.
+    pub admin: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// The list of backends as last known, in discovery's form.
@@ -91,6 +93,8 @@
     #[serde(default)]
     discovery: Option<String>,
     #[serde(default)]
+    admin_addr: Option<String>,
+    #[serde(default)]
     seed: Value,
     #[serde(default)]
     limits: RawLimits,
@@ -173,6 +177,10 @@
             name: raw.name.or_else(|| variable("EDGE_NAME")).unwrap_or_default(),
             listen: address("listen", raw.listen, "EDGE_LISTEN")?,
             discovery: address("discovery", raw.discovery, "EDGE_DISCOVERY")?,
+            admin: match raw.admin_addr.or_else(|| variable("EDGE_ADMIN_ADDR")) {
+                Some(given) => Some(address("admin_addr", Some(given), "EDGE_ADMIN_ADDR")?),
+                None => None,
+            },
             seed: seed(&raw.seed),
             known: raw.known,
             settings: parse_settings(&settings).map_err(ConfigError::Settings)?,
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -1,11 +1,13 @@
 //! The proxy on real sockets. It carries out what the [`Balancer`](crate::balancer::Balancer) decides and
 //! reports what came of it; it never picks a backend, retries, holds or refuses by itself.
 
+pub mod admin;
 pub mod backends;
 pub mod clients;
 pub mod clock;
 pub mod config;
 pub mod discovery;
+pub mod drain;
 pub mod driver;
 
 /// The largest body of a request or an answer.
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -9,7 +9,7 @@
 use hyper::{HeaderMap, Method, Uri};
 use rig::*;
 use socket2::{Domain, Socket, Type};
-use std::io::Read;
+use std::io::{Read, Write};
 use std::rc::Rc;
 use std::sync::mpsc::{Sender, channel};
 
@@ -523,3 +523,72 @@
         assert!(text.contains(word), "{text}");
     }
 }
+
+fn with_admin(name: &str, discovery: &Discovery) -> serde_json::Value {
+    let mut config = config(name, discovery);
+    config["admin_addr"] = "127.0.0.1:0".into();
+    config
+}
+
+#[test]
+fn operators_calls_are_answered_beside_callers_that_hold_connections_without_one() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("fine"));
+    let proxy = Proxy::start_with("calls", with_admin("calls", &discovery));
+    assert!(proxy.call("status").starts_with("400 "), "it holds no list yet");
+    discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+    let holders = (0..40).map(|i| {
+        let mut holder = std::net::TcpStream::connect(proxy.admin.expect("a place")).expect("it accepts");
+        holder.write_all(if i % 2 == 0 { "" } else { "stat" }.as_bytes()).expect("it reads");
+        holder
+    });
+    let holders: Vec<_> = holders.collect();
+    let asked = std::time::Instant::now();
+    assert!(proxy.call("status").starts_with("200 "));
+    assert!(asked.elapsed() < std::time::Duration::from_secs(1), "it waited for the others");
+    for odd in ["", "dance", "status s-1", "status x y", "standby now", "\u{1}", &"status ".repeat(100)] {
+        let answer = proxy.call(odd);
+        assert!(answer.starts_with("400 ") && answer.trim().len() > 4, "{odd:?} got {answer:?}");
+    }
+    assert_eq!(proxy.client().ask(UP).status(), 200);
+    drop(holders);
+}
+
+/// retune+drain: a drained proxy went on saying yes, and clients came and stayed.
+#[test]
+fn on_standby_clients_are_sent_away_and_afterwards_they_may_stay() {
+    let discovery = Discovery::start();
+    let (release, word) = channel();
+    let mut word = Some(word);
+    let backend = Backend::start(move |seen| match seen.header("x-correlation-id") {
+        Some("1") => Reply::After(word.take().expect("asked once"), Box::new(ok("taken before"))),
+        _ => ok("fine"),
+    });
+    let proxy = Proxy::start_with("standby", with_admin("standby", &discovery));
+    discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+    let (mut idle, mut busy, mut next) = (proxy.client(), proxy.client(), proxy.client());
+    assert_eq!(idle.ask(UP).status(), 200);
+    assert_eq!(next.ask(&request("read", "0", "")).header("connection"), None);
+    backend.next();
+    busy.send(&request("read", "1", ""));
+    backend.next();
+    for _ in 0..2 {
+        assert!(proxy.call("standby").starts_with("200 "));
+        assert_eq!(proxy.client().ask(UP).status(), 503);
+    }
+    assert!(proxy.call("status").starts_with("400 "), "it takes no clients");
+    let last = next.ask(&request("read", "2", ""));
+    assert_eq!((last.status(), last.header("connection")), (200, Some("close")));
+    assert!(next.ends_cleanly() && idle.ends_cleanly(), "closed, not reset");
+    release.send(()).expect("the backend waits");
+    let got = busy.receive();
+    assert_eq!((got.body.as_slice(), got.header("connection")), (b"taken before".as_slice(), Some("close")));
+    for _ in 0..2 {
+        assert!(proxy.call("active").starts_with("200 "));
+        assert!(proxy.call("status").starts_with("200 "));
+        let mut back = proxy.client();
+        assert_eq!(back.ask(UP).status(), 200);
+        assert_eq!(back.ask(&request("read", "3", "")).header("connection"), None);
+        assert_eq!(back.ask(&request("read", "4", "")).status(), 200, "the connection stays");
+    }
+}
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -243,6 +243,8 @@
 pub struct Proxy {
     pub child: Child,
     pub address: SocketAddr,
+    /// Where operators call, if the configuration names a place.
+    pub admin: Option<SocketAddr>,
     _log: BufReader<ChildStderr>,
 }
 
@@ -250,7 +252,15 @@
 pub fn launch(name: &str, config: &str) -> Child {
     let path = write_config(name, config);
     let mut command = Command::new(env!("CARGO_BIN_EXE_haventrack-proxy"));
-    command.env("EDGE_CONFIG", path).stderr(Stdio::piped()).spawn().expect("the program starts")
+    command.env("EDGE_CONFIG", path).env("TMPDIR", private_dir(name));
+    command.stderr(Stdio::piped()).spawn().expect("the program starts")
+}
+
+/// What a proxy of that name has for files, the same for all its processes.
+pub fn private_dir(name: &str) -> PathBuf {
+    let path = env::temp_dir().join(format!("haventrack-{}-{name}", std::process::id()));
+    fs::create_dir_all(&path).expect("a folder");
+    path
 }
 
 /// Writes a configuration, or replaces the one that a program was started with.
@@ -277,15 +287,29 @@
     pub fn start_with(name: &str, config: Value) -> Self {
         let mut child = launch(name, &config.to_string());
         let mut log = BufReader::new(child.stderr.take().expect("standard error"));
-        let mut line = String::new();
-        let address = loop {
-            line.clear();
-            assert_ne!(log.read_line(&mut line).expect("a log"), 0, "the proxy ended before it listened");
-            if let Some((_, address)) = line.trim().rsplit_once("listens on ") {
-                break address.parse().expect("an address");
+        let mut address_after = |words: &str| {
+            let mut line = String::new();
+            loop {
+                line.clear();
+                assert_ne!(log.read_line(&mut line).expect("a log"), 0, "the proxy ended before it listened");
+                if let Some((_, address)) = line.trim().rsplit_once(words) {
+                    break address.parse().expect("an address");
+                }
             }
         };
-        Self { child, address, _log: log }
+        let address = address_after("listens on ");
+        let admin = config.get("admin_addr").map(|_| address_after("operators call at "));
+        Self { child, address, admin, _log: log }
+    }
+
+    /// Makes an operator's call and gives the answer.
+    pub fn call(&self, line: &str) -> String {
+        let mut stream = TcpStream::connect(self.admin.expect("a place for calls")).expect("it accepts");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        stream.write_all(format!("{line}\n").as_bytes()).expect("it reads");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer");
+        answer
     }
 
     pub fn client(&self) -> Client {
