--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -210,8 +210,8 @@
         self.gather_ready(now, out);
     }
 
-    /// The operators' word stands beside readiness, so that no list ends a ban. A server that is given back may
-    /// have been restarted before discovery tells so: it counts as started now.
+    /// The operators' word stands beside readiness, so that no list ends a ban. A server that is given back
+    /// may have been restarted before discovery tells so: it counts as started now.
     fn on_maintenance(&mut self, now: Micros, backend: BackendId, away: bool, out: &mut Vec<Action>) {
         let changed = if away { self.banned.insert(backend) } else { self.banned.remove(&backend) };
         if !changed {
