Hand the clients' listener to the process that replaces this one

Design: a running process waits at a Unix socket in TMPDIR; the new one gets the listening socket there and the names of all backends ever listed, so both accept from one queue and none is closed with connections in it. The link stays open and ends with either process however that ends. Over it each tells the other what it holds: free client connections are shared, backend connections are halved (less a process's own descriptors), and the module divides the tokens of cold servers by the number of processes. A process that has a successor stops accepting at SIGTERM and says yes to /up until it ends, as the proxy is up.

Rejected: SO_REUSEPORT with the old queue emptied before it closes. But it leaves a moment between the last accept and the close, and a hung process goes on being given connections. It stays the way out where the other process does not answer within a second: both sockets have the option, so the new one can listen.

rustix passes the descriptor without unsafe code. Nothing of this happens without admin_addr.

--- a/src/api.rs
+++ b/src/api.rs
@@ -327,6 +327,11 @@
         /// Whether nothing new may go there.
         out: bool,
     },
+    /// How many processes serve in this instance's place while one replaces another.
+    Company {
+        /// Their number, this one among them.
+        processes: u32,
+    },
     /// A probe ended.
     Probed {
         /// The backend.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -121,6 +121,8 @@
     rest: (f64, Micros),
     pool: Pool,
     subscribe_failures: u32,
+    /// The processes that serve in this proxy's place: to the rules they are one proxy.
+    processes: u32,
 }
 
 impl Balancer {
@@ -156,6 +158,7 @@
             rest: (settings.permissions.conn_idle as f64, now),
             pool: Pool { slots: 0.0, spread: 1.0, most: u32::MAX, judged_at: None },
             subscribe_failures: 0,
+            processes: 1,
             settings,
         })
     }
@@ -177,6 +180,7 @@
                 }
             }
             Event::Maintenance { backend, out: away } => self.on_maintenance(now, backend, away, out),
+            Event::Company { processes } => self.processes = processes.max(1),
             Event::Probed { .. } => {}
             Event::Timer(token) => self.on_timer(now, token, out),
         }
@@ -617,8 +621,8 @@
         let (served, alike) = (self.kinds[kind].served.peak, self.kinds[kind].ready.max(1));
         let bank = served * f64::from(self.settings.balancers) / alike as f64;
         let single = SECOND as f64 / self.latencies[kind].mean;
-        let rate =
-            (safety.fall_multiple * COLD_MARGIN).min(1.0) * part * bank.max(single) * self.share(server);
+        let share = self.share(server) / f64::from(self.processes);
+        let rate = (safety.fall_multiple * COLD_MARGIN).min(1.0) * part * bank.max(single) * share;
         (cold.tokens + rate * (now - cold.filled_at) as f64 / SECOND as f64).min(1.0_f64.max(rate / 4.0))
     }
 
--- a/src/bin/haventrack-proxy.rs
+++ b/src/bin/haventrack-proxy.rs
@@ -10,9 +10,10 @@
 use haventrack::proxy::discovery::{Numbers, Translator, Watcher};
 use haventrack::proxy::drain::Drain;
 use haventrack::proxy::driver::{Driver, Limits};
-use haventrack::proxy::handover::Bans;
+use haventrack::proxy::handover::{self, Bans, Company, Held, Predecessor};
 use haventrack::proxy::log;
 use std::cell::{Cell, RefCell};
+use std::env;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -25,14 +26,29 @@
 
 /// The kernel's queue of connections that are not accepted yet.
 const BACKLOG: u32 = 1_024;
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+
+/// Listens at an address. `shared`: another process of this proxy may do so as well, or do so already.
+fn listen(address: SocketAddr, shared: bool) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     // A restarted proxy takes its old address although connections of the old process linger.
     socket.set_reuseaddr(true)?;
+    if shared {
+        socket.set_reuseport(true)?;
+    }
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
 
+/// The clients' listener: that of the process which this one replaces, or one of its own.
+fn open_door(config: &Config) -> Result<(TcpListener, Option<Predecessor>), Box<dyn Error>> {
+    let taken = config.admin.and_then(|_| handover::take_over(&env::temp_dir(), config.listen));
+    if let Some((listener, predecessor)) = taken {
+        return Ok((listener, Some(predecessor)));
+    }
+    let listener = listen(config.listen, config.admin.is_some());
+    Ok((listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?, None))
+}
+
 /// The signals that the proxy takes while it runs.
 struct Signals {
     stop: Signal,
@@ -50,6 +66,9 @@
 
 async fn run(config: Config, mut signals: Signals) -> Result<(), Box<dyn Error>> {
     let clock = Clock::start();
+    let (listener, predecessor) = open_door(&config)?;
+    let listener = Rc::new(listener);
+    log(format_args!("{} listens on {}", config.name, listener.local_addr()?));
     let settings = config.settings;
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let asked = settings.discovery_on_request;
@@ -61,43 +80,53 @@
         settings.permissions.conn_idle,
         config.names.report.clone(),
     );
-    let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    log(format_args!("{} listens on {}", config.name, listener.local_addr()?));
     let balancer = Balancer::new(settings.clone(), config.seed, clock.now())?;
     let (subscribe, subscriptions) = mpsc::unbounded_channel();
     let (driver, handle) = Driver::new(balancer, clock, Rc::clone(&fleet), limits, subscribe);
     let held = Rc::new(Cell::new(false));
     let numbers = Rc::new(RefCell::new(Numbers::default()));
+    let listed = predecessor.iter().flat_map(|p| &p.names);
+    listed.for_each(|name| _ = numbers.borrow_mut().number(name));
     let translator = Translator::new(clock, &config.names, Rc::clone(&numbers));
     let subscriptions = asked.then_some(subscriptions);
     let mut watcher =
         Watcher::new(config.discovery, translator, handle.clone(), Rc::clone(&held), subscriptions);
-    let (drain, phases) = Drain::new();
+    let drain = Drain::new();
     // What the operators have taken out of use is told before any list.
     let operations = config.admin.map(|address| {
         let (drain, held, handle) = (Rc::clone(&drain), Rc::clone(&held), handle.clone());
-        (address, Operations::new(drain, held, handle, numbers, Bans::shared()))
+        (address, Operations::new(drain, held, handle, Rc::clone(&numbers), Bans::shared()))
     });
     watcher.start_from(config.known);
-    let clients = Clients::new(handle, clock, &settings, &config.names, held, phases, config.client_sockets);
+    let (names, most) = (&config.names, config.client_sockets);
+    let clients = Clients::new(handle.clone(), clock, &settings, names, held, Rc::clone(&drain), most);
+    let most = Held { clients: config.client_sockets, backends: config.backend_sockets };
+    let (door, both) = (Rc::clone(&listener), (Rc::clone(&clients), Rc::clone(&fleet)));
+    let company = Company::new(door, numbers, handle, both.0, both.1, most);
 
     let mut driver = tokio::task::spawn_local(driver.run());
     let (discovery, moves) = watch::channel(config.discovery);
     tokio::task::spawn_local(watcher.run(moves));
     tokio::task::spawn_local(fleet.sweep());
-    tokio::task::spawn_local(Rc::clone(&clients).accept(listener));
+    let accept = tokio::task::spawn_local(Rc::clone(&clients).accept(listener));
     if let Some((address, operations)) = operations {
-        let listener = listen(address).map_err(|e| format!("cannot listen on {address}: {e}"))?;
+        let listener = listen(address, false).map_err(|e| format!("cannot listen on {address}: {e}"))?;
         log(format_args!("operators call at {}", listener.local_addr()?));
         tokio::task::spawn_local(Rc::clone(&operations).watch_bans());
         tokio::task::spawn_local(operations.serve(listener));
+        predecessor.into_iter().for_each(|other| company.follow(other));
+        tokio::task::spawn_local(Rc::clone(&company).serve());
     }
     loop {
         tokio::select! {
             ended = &mut driver => return Err(format!("the driver ended: {ended:?}").into()),
             Some(()) = signals.reload.recv() => reload(&discovery),
             _ = signals.stop.recv() => {
-                drain.stop(&clients, Duration::from_micros(longest)).await;
+                let replaced = company.has_successor();
+                if replaced {
+                    accept.abort();
+                }
+                drain.stop(&clients, Duration::from_micros(longest), replaced).await;
                 return Ok(());
             }
         }
--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -231,7 +231,7 @@
     /// What the operators have taken out of use.
     banned: RefCell<FxHashSet<BackendId>>,
     sockets: Rc<Cell<usize>>,
-    most_sockets: usize,
+    most_sockets: Cell<usize>,
     dial_timeout: Duration,
     idle_limit: Duration,
     report_fields: Vec<String>,
@@ -252,7 +252,7 @@
             servers: RefCell::default(),
             banned: RefCell::default(),
             sockets: Rc::default(),
-            most_sockets,
+            most_sockets: Cell::new(most_sockets),
             dial_timeout: Duration::from_micros(dial_timeout),
             idle_limit: idle.saturating_sub(IDLE_MARGIN).max(idle / 2),
             report_fields,
@@ -348,11 +348,25 @@
         None
     }
 
+    /// Open connections to backends.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.sockets.get()
+    }
+
+    /// From now on this many connections may be open at a time; idle ones beyond that are closed.
+    pub fn limit(&self, most: usize) {
+        self.most_sockets.set(most);
+        while self.sockets.get() > most && self.close_oldest() {}
+    }
+
     /// Makes room for one more socket; false where every socket is in use.
     fn make_room(&self) -> bool {
-        if self.sockets.get() < self.most_sockets {
-            return true;
-        }
+        self.sockets.get() < self.most_sockets.get() || self.close_oldest()
+    }
+
+    /// Closes the connection that has been idle longest; false where none is.
+    fn close_oldest(&self) -> bool {
         let servers = self.servers.borrow();
         let oldest = servers.values().filter_map(|s| Some((s.idle.borrow().first()?.since, s)));
         let Some((_, server)) = oldest.min_by_key(|(since, _)| *since) else { return false };
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -3,7 +3,7 @@
 use super::backends::Call;
 use super::clock::Clock;
 use super::config::Names;
-use super::drain::Phase;
+use super::drain::{Drain, Phase};
 use super::driver::{Answer, Handle, Inbound, Message};
 use super::{BODY_CAP, log};
 use crate::api::{Effect, Micros, RequestId, Settings};
@@ -68,8 +68,9 @@
     classes: FxHashMap<String, (u8, Class)>,
     tenants: FxHashMap<String, u16>,
     held: Rc<Cell<bool>>,
+    drain: Rc<Drain>,
     phase: watch::Receiver<Phase>,
-    most: usize,
+    most: Cell<usize>,
     open: Cell<usize>,
     freed: Notify,
     /// Asks the connection that has been open longest to close once it is idle.
@@ -92,7 +93,7 @@
         settings: &Settings,
         names: &Names,
         held: Rc<Cell<bool>>,
-        phase: watch::Receiver<Phase>,
+        drain: Rc<Drain>,
         most: usize,
     ) -> Rc<Self> {
         let class = |c: &crate::api::Class| Class {
@@ -107,8 +108,9 @@
             classes: classes.map(|((name, i), c)| (name.clone(), (i, class(c)))).collect(),
             tenants: names.tenants.iter().cloned().zip(0..).collect(),
             held,
-            phase,
-            most,
+            phase: drain.phases(),
+            drain,
+            most: Cell::new(most),
             open: Cell::new(0),
             freed: Notify::new(),
             shed: Notify::new(),
@@ -123,6 +125,12 @@
         self.open.get()
     }
 
+    /// From now on this many connections may be open at a time.
+    pub fn limit(&self, most: usize) {
+        self.most.set(most);
+        self.freed.notify_waiters();
+    }
+
     /// Time since a client last connected.
     #[must_use]
     pub fn quiet(&self) -> Duration {
@@ -135,13 +143,13 @@
     }
 
     /// Accepts connections for as long as the proxy runs.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+    pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
         loop {
             // Beyond the cap clients wait in the kernel's queue instead of taking the backends' descriptors.
             // Connections that clients keep without using them would hold those up for long: some are closed.
-            while self.open.get() >= self.most {
+            while self.open.get() >= self.most.get() {
                 if self.shedding.get() == 0 {
-                    (0..=self.most / SHED_PART).for_each(|_| self.shed.notify_one());
+                    (0..=self.most.get() / SHED_PART).for_each(|_| self.shed.notify_one());
                 }
                 self.freed.notified().await;
             }
@@ -224,14 +232,14 @@
             }
         };
         // Close to the cap, connections are given back after each answer.
-        if *self.phase.borrow() != Phase::Running || self.open.get() * 8 >= self.most * 7 {
+        if *self.phase.borrow() != Phase::Running || self.open.get() * 8 >= self.most.get() * 7 {
             close(&mut response);
         }
         response
     }
 
     fn up(&self) -> Response<Full<Bytes>> {
-        if self.held.get() && *self.phase.borrow() == Phase::Running {
+        if self.held.get() && self.drain.is_up() {
             plain(StatusCode::OK, "up\n")
         } else {
             plain(StatusCode::SERVICE_UNAVAILABLE, "not serving\n")
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -119,6 +119,12 @@
         self.numbers.get(name).copied()
     }
 
+    /// All names.
+    #[must_use]
+    pub fn names(&self) -> Vec<&str> {
+        self.numbers.keys().map(String::as_str).collect()
+    }
+
     /// A backend's number, the same at every proxy: the hash of its name. Two names that share a hash (one in
     /// millions) are told apart by order, which costs nothing but that sameness.
     pub fn number(&mut self, name: &str) -> BackendId {
--- a/src/proxy/drain.rs
+++ b/src/proxy/drain.rs
@@ -35,14 +35,23 @@
     /// Counts the changes of mind, so that an older standby does not go on once it was called off.
     turn: Cell<u64>,
     stopping: Cell<bool>,
+    /// Another process has taken this one's place.
+    replaced: Cell<bool>,
 }
 
 impl Drain {
-    /// A proxy that serves, and what its connections watch.
+    /// A proxy that serves.
     #[must_use]
-    pub fn new() -> (Rc<Self>, watch::Receiver<Phase>) {
-        let (phase, phases) = watch::channel(Phase::Running);
-        (Rc::new(Self { phase, turn: Cell::new(0), stopping: Cell::new(false) }), phases)
+    pub fn new() -> Rc<Self> {
+        let phase = watch::channel(Phase::Running).0;
+        let (turn, stopping, replaced) = (Cell::new(0), Cell::new(false), Cell::new(false));
+        Rc::new(Self { phase, turn, stopping, replaced })
+    }
+
+    /// What the connections watch.
+    #[must_use]
+    pub fn phases(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
     }
 
     /// Whether the proxy takes clients.
@@ -51,6 +60,12 @@
         *self.phase.borrow() == Phase::Running
     }
 
+    /// Whether clients are taken at this address, if not by this process then by the one that replaces it.
+    #[must_use]
+    pub fn is_up(&self) -> bool {
+        self.is_running() || self.replaced.get()
+    }
+
     /// Whether the process is on its way to its end.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
@@ -80,9 +95,11 @@
         !self.is_stopping()
     }
 
-    /// Finishes what was taken, and what still comes, before the process ends.
-    pub async fn stop(&self, clients: &Clients, longest: Duration) {
+    /// Finishes what was taken, and what still comes, before the process ends. Where it is `replaced`, the other
+    /// process takes what still comes.
+    pub async fn stop(&self, clients: &Clients, longest: Duration, replaced: bool) {
         self.stopping.set(true);
+        self.replaced.set(replaced);
         let began = Instant::now();
         if self.is_running() {
             self.change(Phase::Draining);
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -76,6 +76,8 @@
     Listed(Scope, Vec<Listed>),
     /// The operators take a backend out of use (true) or give it back; the word is sent once that is in force.
     Maintenance(BackendId, bool, Option<oneshot::Sender<()>>),
+    /// How many processes serve in this proxy's place, this one among them.
+    Company(u32),
 }
 
 /// The way to the driver.
@@ -255,6 +257,7 @@
                 self.settle(now);
             }
             Message::Listed(scope, entries) => self.on_list(now, scope, &entries),
+            Message::Company(processes) => self.feed(now, Event::Company { processes }),
             Message::Maintenance(backend, out, done) => {
                 self.fleet.ban(backend, out);
                 self.feed(now, Event::Maintenance { backend, out });
--- a/src/proxy/handover.rs
+++ b/src/proxy/handover.rs
@@ -1,12 +1,51 @@
-//! What outlives a process: which backends the operators have taken out.
+//! What outlives a process: which backends the operators have taken out, and the clients' listener, which a
+//! running process hands to the one that replaces it.
 //!
 //! A ban is a file of its own in `$TMPDIR`, named after the backend. Making and removing a file are atomic and
 //! touch no other ban, so two processes may write at the same time, and neither can overwrite what the other has
 //! just stored, as they could in one file that holds all of them.
+//!
+//! The listener goes over a Unix socket in `$TMPDIR`, and both processes then accept from one queue: no connection
+//! is left in a queue that nobody accepts from any more. The link stays open, tells each process what the other
+//! holds of the descriptors that are theirs together, and ends with either process, however that ends.
 
+use super::backends::Fleet;
+use super::clients::Clients;
+use super::discovery::Numbers;
+use super::driver::{Handle, Message};
+use super::log;
+use rustc_hash::FxHashMap;
+use rustix::net::{
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
+    SendFlags, recvmsg, sendmsg, sockopt::socket_acceptconn,
+};
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
+use std::io::{BufRead, BufReader, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::os::fd::AsFd;
+use std::os::unix::net::UnixStream as StdUnixStream;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
 use std::{env, fs, io};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, Interest};
+use tokio::net::{TcpListener, UnixListener, UnixStream};
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+/// The socket in `$TMPDIR` at which a process waits for the one that replaces it.
+const SOCKET: &str = "haventrack-handover";
+/// How long the running process may take to hand over. One that hangs is not waited for: the new process then
+/// listens by itself at the same address.
+const HAND_OVER_WITHIN: Duration = Duration::from_millis(1_000);
+/// How often two processes tell one another what they hold.
+const TELL_EVERY: Duration = Duration::from_millis(50);
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(100);
+/// Descriptors that a process needs beside its clients and backends.
+const OWN_SOCKETS: usize = 24;
+/// The least part of the clients' connections that a process may hold.
+const LEAST_PART: usize = 4;
 
 const BANS: &str = "haventrack-bans";
 /// The longest id that can be stored: a file's name holds 255 bytes, and each byte of an id takes two.
@@ -94,3 +133,254 @@
     let bytes: Option<Vec<u8>> = digits.chunks(2).map(byte).collect();
     String::from_utf8(bytes?).ok()
 }
+
+/// The process that this one replaces.
+pub struct Predecessor {
+    /// The names of all backends that were ever listed.
+    pub names: Vec<String>,
+    link: StdUnixStream,
+}
+
+/// Takes the clients' listener over from a process that serves at this address, the same socket that it accepts
+/// from; `None` where none answers.
+#[must_use]
+pub fn take_over(folder: &Path, address: SocketAddr) -> Option<(TcpListener, Predecessor)> {
+    let link = StdUnixStream::connect(folder.join(SOCKET)).ok()?;
+    match receive(link, address) {
+        Ok(taken) => Some(taken),
+        Err(error) => {
+            log(format_args!("nothing is handed over: {error}"));
+            None
+        }
+    }
+}
+
+fn receive(link: StdUnixStream, address: SocketAddr) -> io::Result<(TcpListener, Predecessor)> {
+    link.set_read_timeout(Some(HAND_OVER_WITHIN))?;
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut control = RecvAncillaryBuffer::new(&mut space);
+    let mut mark = [0];
+    let flags = RecvFlags::CMSG_CLOEXEC;
+    recvmsg(&link, &mut [IoSliceMut::new(&mut mark)], &mut control, flags)?;
+    let fds = control.drain().filter_map(|message| match message {
+        RecvAncillaryMessage::ScmRights(fds) => Some(fds),
+        _ => None,
+    });
+    let wrong = |what| io::Error::new(io::ErrorKind::InvalidData, what);
+    let fd = fds.flatten().next().ok_or_else(|| wrong("no listener came"))?;
+    let socket = socket2::Socket::from(fd);
+    if !socket_acceptconn(&socket)? || socket.local_addr()?.as_socket() != Some(address) {
+        return Err(wrong("it listens elsewhere"));
+    }
+    socket.set_nonblocking(true)?;
+    let mut line = String::new();
+    BufReader::new(&link).read_line(&mut line)?;
+    let names = serde_json::from_str(&line)?;
+    Ok((TcpListener::from_std(socket.into())?, Predecessor { names, link }))
+}
+
+/// Descriptors that a process holds, or may hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Held {
+    /// For clients.
+    pub clients: usize,
+    /// For backends.
+    pub backends: usize,
+}
+
+impl Held {
+    fn parse(line: &str) -> Option<Self> {
+        let (clients, backends) = line.trim().split_once(' ')?;
+        Some(Self { clients: clients.parse().ok()?, backends: backends.parse().ok()? })
+    }
+
+    /// What one of several processes may hold of what is theirs together, where it holds this much and the others
+    /// hold that. Clients stay where they are: what is free is shared, and no process is left without some.
+    /// Connections to backends can be opened anew, so each process has its part of them.
+    #[must_use]
+    pub fn part_of(self, all: Held, others: Held, processes: usize) -> Self {
+        let free = all.clients.saturating_sub(self.clients + others.clients);
+        let (least, most) = (all.clients / LEAST_PART, all.clients - all.clients / LEAST_PART);
+        Self {
+            clients: (self.clients + free / processes).clamp(least, most),
+            backends: all.backends.saturating_sub(OWN_SOCKETS * (processes - 1)) / processes,
+        }
+    }
+}
+
+/// This process and the others that serve at the same address.
+pub struct Company {
+    folder: PathBuf,
+    listener: Rc<TcpListener>,
+    numbers: Rc<RefCell<Numbers>>,
+    handle: Handle,
+    clients: Rc<Clients>,
+    fleet: Rc<Fleet>,
+    /// What all of them may hold together.
+    most: Held,
+    /// What the others were last told that this one holds.
+    told: Cell<Held>,
+    /// What each of the others holds, by the number of its link.
+    others: RefCell<FxHashMap<usize, Held>>,
+    links: Cell<usize>,
+    /// Those of the others that were given the listener by this process.
+    successors: Cell<usize>,
+}
+
+impl Company {
+    /// A process that is alone until it hears of another.
+    #[must_use]
+    pub fn new(
+        listener: Rc<TcpListener>,
+        numbers: Rc<RefCell<Numbers>>,
+        handle: Handle,
+        clients: Rc<Clients>,
+        fleet: Rc<Fleet>,
+        most: Held,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            folder: env::temp_dir(),
+            listener,
+            numbers,
+            handle,
+            clients,
+            fleet,
+            most,
+            told: Cell::default(),
+            others: RefCell::default(),
+            links: Cell::new(0),
+            successors: Cell::new(0),
+        })
+    }
+
+    /// Whether a process that replaces this one accepts the clients.
+    #[must_use]
+    pub fn has_successor(&self) -> bool {
+        self.successors.get() > 0
+    }
+
+    /// Stays linked to the process that handed over.
+    pub fn follow(self: &Rc<Self>, other: Predecessor) {
+        let linked = other.link.set_nonblocking(true).and_then(|()| UnixStream::from_std(other.link));
+        match linked {
+            Ok(stream) => {
+                let company = Rc::clone(self);
+                tokio::task::spawn_local(async move { company.link(stream).await });
+            }
+            Err(error) => log(format_args!("no link to the other process: {error}")),
+        }
+    }
+
+    /// Waits for processes that replace this one, for as long as it runs.
+    pub async fn serve(self: Rc<Self>) {
+        let mut waiting = self.publish();
+        loop {
+            let Some(socket) = &waiting else { return };
+            match socket.accept().await {
+                Ok((stream, _)) => {
+                    let company = Rc::clone(&self);
+                    company.successors.set(company.successors.get() + 1);
+                    let ended = tokio::task::spawn_local(async move {
+                        match company.give(&stream).await {
+                            Ok(()) => company.link(stream).await,
+                            Err(error) => log(format_args!("the listener can't be handed over: {error}")),
+                        }
+                        company.successors.set(company.successors.get() - 1);
+                    });
+                    // The successor waits at that name now. Once it is gone this process is to be found again.
+                    let _ = ended.await;
+                    waiting = self.publish();
+                }
+                Err(error) => {
+                    log(format_args!("accept of another process: {error}"));
+                    sleep(ACCEPT_BACKOFF).await;
+                }
+            }
+        }
+    }
+
+    /// Waits at the name in `$TMPDIR`, whatever stood there: renaming is atomic, and a socket that a dead process
+    /// has left answers nobody.
+    fn publish(&self) -> Option<UnixListener> {
+        let (path, own) =
+            (self.folder.join(SOCKET), self.folder.join(format!("{SOCKET}.{}", std::process::id())));
+        let _ = fs::remove_file(&own);
+        let published = UnixListener::bind(&own).and_then(|socket| fs::rename(&own, &path).map(|()| socket));
+        published.inspect_err(|error| log(format_args!("nobody can take over: {error}"))).ok()
+    }
+
+    async fn give(&self, stream: &UnixStream) -> io::Result<()> {
+        let fds = [self.listener.as_fd()];
+        let send = || {
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+            let mut control = SendAncillaryBuffer::new(&mut space);
+            control.push(SendAncillaryMessage::ScmRights(&fds));
+            let sent = sendmsg(stream, &[IoSlice::new(b"L")], &mut control, SendFlags::NOSIGNAL);
+            sent.map_err(io::Error::from)
+        };
+        stream.async_io(Interest::WRITABLE, send).await?;
+        let names = serde_json::to_string(&self.numbers.borrow().names())? + "\n";
+        let mut rest = names.as_bytes();
+        while !rest.is_empty() {
+            stream.writable().await?;
+            match stream.try_write(rest) {
+                Ok(written) => rest = &rest[written..],
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+            }
+        }
+        log(format_args!("the listener was handed to another process"));
+        Ok(())
+    }
+
+    /// Tells the other process what this one holds, and hears the same of it, until one of them ends.
+    async fn link(&self, stream: UnixStream) {
+        let number = self.links.get();
+        self.links.set(number + 1);
+        // Until it has spoken it may hold half of everything.
+        let half = Held { clients: self.most.clients / 2, backends: self.most.backends / 2 };
+        self.others.borrow_mut().insert(number, half);
+        self.told.set(Held { clients: self.clients.open(), backends: self.fleet.open() });
+        self.judge();
+        let (read, mut write) = stream.into_split();
+        let mut lines = tokio::io::BufReader::new(read).lines();
+        let mut tick = interval(TELL_EVERY);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                line = lines.next_line() => {
+                    let Ok(Some(line)) = line else { break };
+                    if let Some(held) = Held::parse(&line) {
+                        self.others.borrow_mut().insert(number, held);
+                        self.judge();
+                    }
+                }
+                _ = tick.tick() => {
+                    let held = Held { clients: self.clients.open(), backends: self.fleet.open() };
+                    let line = format!("{} {}\n", held.clients, held.backends);
+                    self.told.set(held);
+                    self.judge();
+                    if write.write_all(line.as_bytes()).await.is_err() {
+                        break;
+                    }
+                }
+            }
+        }
+        self.others.borrow_mut().remove(&number);
+        self.judge();
+        log(format_args!("the other process has ended"));
+    }
+
+    /// What the others hold, or whether there are any, has changed.
+    fn judge(&self) {
+        let others = self.others.borrow();
+        let sum = |part: fn(&Held) -> usize| others.values().map(part).sum::<usize>();
+        let held = Held { clients: sum(|h| h.clients), backends: sum(|h| h.backends) };
+        let processes = 1 + others.len();
+        let own =
+            if others.is_empty() { self.most } else { self.told.get().part_of(self.most, held, processes) };
+        self.clients.limit(own.clients);
+        self.fleet.limit(own.backends);
+        self.handle.tell(Message::Company(u32::try_from(processes).unwrap_or(u32::MAX)));
+    }
+}
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -6,7 +6,7 @@
 use haventrack::api::{Outcome, Readiness};
 use haventrack::proxy::backends::{Call, Fleet};
 use haventrack::proxy::config::Config;
-use haventrack::proxy::handover::Bans;
+use haventrack::proxy::handover::{Bans, Held};
 use hyper::{HeaderMap, Method, Uri};
 use rig::*;
 use socket2::{Domain, Socket, Type};
@@ -678,3 +678,139 @@
         assert!(bans.store(odd).is_err(), "{odd}");
     }
 }
+
+/// Starts a second process beside one that serves, at the same address, as an upgrade does.
+fn beside(running: &Proxy, name: &str, discovery: &Discovery, members: &[serde_json::Value]) -> Proxy {
+    let mut config = with_admin(name, discovery);
+    config["listen"] = running.address.to_string().into();
+    let next = Proxy::start_with(name, config);
+    discovery.post(true, members);
+    while !next.call("status").starts_with("200 ") {}
+    next
+}
+
+/// upgrade+hand: the new process could not listen where the old one did, and ended.
+#[test]
+fn a_process_is_replaced_without_a_connection_left_behind() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("fine"));
+    let gone = entry("s-gone", backend.address, "left", 0);
+    let members = [entry("s-1", backend.address, "active", 0)];
+    let mut old = Proxy::start_with("replaced", with_admin("replaced", &discovery));
+    discovery.post(true, &[members[0].clone(), gone]);
+    let mut kept = old.client();
+    assert_eq!(kept.ask(&request("read", "kept", "")).status(), 200);
+    let mut next = beside(&old, "replaced", &discovery, &members);
+    assert!(next.call("maint-on s-gone").starts_with("200 "), "it knows what was listed before its start");
+    for round in 0..3 {
+        old.terminate();
+        let mut asked = 0;
+        while old.child.try_wait().expect("its state").is_none() || asked < 100 {
+            let got = old.client().ask(&request("read", &format!("{round}-{asked}"), ""));
+            assert_eq!(got.status(), 200);
+            assert_eq!(old.client().ask(UP).status(), 200, "to the front it is one proxy, and it is up");
+            asked += 1;
+        }
+        assert_eq!(old.wait().code(), Some(0));
+        let newest = beside(&next, "replaced", &discovery, &members);
+        old = std::mem::replace(&mut next, newest);
+    }
+    assert!(kept.ends_cleanly(), "an idle connection of the old process is closed, not reset");
+}
+
+#[test]
+fn a_process_that_hangs_or_was_killed_keeps_no_new_one_from_serving() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("fine"));
+    let members = [entry("s-1", backend.address, "active", 0)];
+    let mut old = Proxy::start_with("hung", with_admin("hung", &discovery));
+    discovery.post(true, &members);
+    // A new one that is killed leaves the old one serving, and the next one finds it.
+    let mut killed = beside(&old, "hung", &discovery, &members);
+    killed.child.kill().expect("it runs");
+    killed.wait();
+    for _ in 0..20 {
+        assert_eq!(old.client().ask(&request("read", "1", "")).status(), 200);
+    }
+    let mut taken = beside(&old, "hung", &discovery, &members);
+    taken.child.kill().expect("it runs");
+    taken.wait();
+    old.signal("-STOP");
+    let next = beside(&old, "hung", &discovery, &members);
+    old.child.kill().expect("it is there");
+    old.wait();
+    for _ in 0..20 {
+        assert_eq!(next.client().ask(&request("read", "2", "")).status(), 200);
+    }
+}
+
+#[test]
+fn stale_and_foreign_files_in_the_shared_folder_keep_no_process_from_serving() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("fine"));
+    let members = [entry("s-1", backend.address, "active", 0)];
+    let socket = private_dir("stale").join("haventrack-handover");
+    let liar = private_dir("stale").join("liar");
+    let lay: [&dyn Fn(); 4] = [
+        &|| std::fs::write(&socket, "damaged").expect("a file"),
+        &|| drop(std::os::unix::net::UnixListener::bind(&socket).expect("a socket that nobody serves")),
+        &|| {
+            // Somebody else's socket, with an answer that makes no sense.
+            let listener = std::os::unix::net::UnixListener::bind(&liar).expect("a socket");
+            std::fs::rename(&liar, &socket).expect("it takes the name");
+            std::thread::spawn(move || {
+                let (mut peer, _) = listener.accept().expect("the new process");
+                peer.write_all(b"nonsense\n").expect("it reads");
+            });
+        },
+        &|| std::fs::create_dir(&socket).expect("a folder"),
+    ];
+    for lay in lay {
+        lay();
+        let proxy = Proxy::start_with("stale", with_admin("stale", &discovery));
+        discovery.post(true, &members);
+        assert_eq!(proxy.client().ask(&request("read", "1", "")).status(), 200);
+        drop(proxy);
+        let _ = std::fs::remove_file(&socket);
+    }
+}
+
+#[test]
+fn two_processes_share_the_descriptors_of_one() {
+    for sockets in [96, 256, 384, 1_024] {
+        let all = Held { clients: sockets / 3, backends: sockets - 24 - sockets / 3 };
+        for (own, other) in [(0, 0), (all.clients / 2, 0), (all.clients * 3 / 4, 0), (10, 6)] {
+            let held = |clients| Held { clients, backends: 0 };
+            let one = held(own).part_of(all, held(other), 2);
+            let two = held(other).part_of(all, held(own), 2);
+            assert!(one.clients + two.clients <= all.clients, "{one:?} and {two:?} of {all:?}");
+            assert!(
+                one.clients >= own && one.clients > 0 && two.clients > 0,
+                "{one:?} and {two:?} of {all:?}"
+            );
+            let used = 2 * 24 + one.clients + two.clients + one.backends + two.backends;
+            assert!(used <= sockets, "{used} of {sockets}");
+        }
+    }
+    let discovery = Discovery::start();
+    let with_sockets = |listen: &str| {
+        let mut config = with_admin("shared", &discovery);
+        config["limits"]["sockets"] = 96.into();
+        config["listen"] = listen.into();
+        Proxy::start_with("shared", config)
+    };
+    let old = with_sockets("127.0.0.1:0");
+    let early: Vec<_> = (0..24).map(|_| old.client()).collect();
+    let new = with_sockets(&old.address.to_string());
+    let late: Vec<_> = (0..40).map(|_| old.client()).collect();
+    let held = |proxy: &Proxy| {
+        let fds = std::fs::read_dir(format!("/proc/{}/fd", proxy.child.id())).expect("its descriptors");
+        fds.count()
+    };
+    // Callers show that both have had their turn since.
+    for proxy in [&old, &new, &old, &new] {
+        proxy.call("status");
+    }
+    assert!(held(&old) + held(&new) <= 96, "{} and {}", held(&old), held(&new));
+    drop((early, late));
+}
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -327,7 +327,7 @@
         self.signal("-HUP");
     }
 
-    fn signal(&self, which: &str) {
+    pub fn signal(&self, which: &str) {
         let done = Command::new("kill").args([which, &self.child.id().to_string()]).status();
         assert!(done.expect("kill runs").success());
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -372,3 +372,32 @@
     proxy.serve(|_| SECOND);
     assert_eq!(sent_to(&proxy.request(request(1_001, 1))), Some(0));
 }
+
+/// How many requests one of several processes of a proxy sends a server within its first four seconds, under more
+/// load than the tokens of a cold server allow.
+fn sends_to_a_newcomer(seed: u64, processes: u32) -> usize {
+    let mut settings = settings();
+    (settings.zones, settings.balancers) = (1, 1);
+    let mut proxy = Proxy::with_seed(seed, settings, (0..2).map(|i| Backend { zone: 0, ..backend(i) }));
+    proxy.event(Event::Company { processes });
+    let mut sends = 0;
+    for tick in 0..1_600 {
+        if tick == 800 {
+            let started = Some(proxy.now);
+            proxy.list(Membership::Delta(&[Backend { zone: 0, started, ..backend(1) }]));
+        }
+        let to = sent_to(&proxy.request(request(tick, 0)));
+        sends += usize::from(tick >= 800 && to == Some(1));
+        proxy.advance(5 * MS);
+        proxy.serve(|_| 30 * MS);
+    }
+    sends
+}
+
+#[test]
+fn two_processes_of_a_proxy_have_the_cold_budget_of_one() {
+    let alone = sends_to_a_newcomer(1, 1);
+    let both: usize = (2..4).map(|seed| sends_to_a_newcomer(seed, 2)).sum();
+    assert!(alone > 20, "the newcomer gets {alone}");
+    assert!(both * 4 <= alone * 5, "two processes sent {both}, one alone {alone}");
+}
