Send a backend that is given back one request soon, though others be nearer

Now a server that was given back gets one repeatable request at a time, within its cold tokens, until it has served one.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -225,6 +225,7 @@
             && !away
         {
             self.servers[index].given_back = Some(now);
+            self.servers[index].returning = true;
             self.restarted(now, index);
         }
         self.gather_ready(now, out);
@@ -569,6 +570,11 @@
             {
                 continue;
             }
+            // Departure: who gives a server back wants to see it at work, though others be nearer or have
+            // more room. It gets one repeatable request at a time, until it has served one.
+            if server.returning && server.in_flight == 0 && repeatable {
+                return Some(index);
+            }
             // Departure: a token of a cold server is a slot there, if nothing warm has one. Its budget is
             // divided among all proxies, and the few with a whole slot could not spend it.
             let slots = server.slots(part);
@@ -759,6 +765,7 @@
                 latency.add(elapsed);
                 self.kinds[kind].served.add(now);
                 server.silent_since = now;
+                server.returning = false;
                 false
             }
             // A server that answered others meanwhile is not hung; the request was heavy.
--- a/src/state.rs
+++ b/src/state.rs
@@ -34,6 +34,8 @@
     pub(crate) started: Option<Micros>,
     /// When the operators gave it back, perhaps restarted.
     pub(crate) given_back: Option<Micros>,
+    /// It was given back and has served nothing since.
+    pub(crate) returning: bool,
     pub(crate) in_flight: u32,
     pub(crate) limit: f64,
     pub(crate) dither: f64,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -350,6 +350,18 @@
     assert!(sends[11] >= warm[&2] * 3 / 4, "as before once it is warm: {sends:?}, warm {}", warm[&2]);
 }
 
+/// upgrade+hand: a server of another zone was given back while the own zone had room, and nobody saw it at work.
+#[test]
+fn a_server_given_back_is_used_soon_although_others_are_nearer() {
+    let mut proxy = Proxy::new(settings(), (0..4).map(backend));
+    second_of_requests(&mut proxy, 0);
+    proxy.maintain(1, true);
+    proxy.advance(2 * SECOND);
+    proxy.maintain(1, false);
+    let got = (1..=5).filter_map(|round| second_of_requests(&mut proxy, round * 1_000).get(&1).copied());
+    assert_eq!(got.sum::<usize>(), 1, "one request shows that it serves; then the near ones are enough");
+}
+
 #[test]
 fn with_the_last_servers_taken_out_requests_are_refused_at_once() {
     let mut proxy = Proxy::new(settings(), (0..2).map(backend));
