Take new settings at SIGHUP, whole or not at all

Design: the file is read and checked whole, also against the configuration in force: each key that it has (for classes and tenants: that all of them have) must be there again, for a file without `discovery` or `keyTtlUs` would otherwise be filled up from the environment or with nothing. Then the module takes the settings in one event, gives the numbers of the classes back, and the clients' table is swapped. The module keeps every class it ever had, told apart by all its figures: a request keeps its class to its end, one that comes back stricter is another, one that comes back as it was is the same.

Rejected: positions in the settings as the identity of a class. A request that waits for its body, is held or is out would be of another class after the swap, and might be sent twice. Also rejected: a module made anew, which would forget limits, cold servers and what is out.

--- a/src/api.rs
+++ b/src/api.rs
@@ -7,6 +7,8 @@
 pub type Micros = u64;
 /// A request, as the proxy numbers it. An id is never used twice in one life of an instance.
 pub type RequestId = u32;
+/// A class of requests; a number means the same class for the whole life of an instance.
+pub type ClassNumber = u32;
 /// A backend server; the same number at every proxy, also after its process restarts.
 pub type BackendId = u32;
 
@@ -37,9 +39,11 @@
     Unsafe,
 }
 
-/// A class of requests.
-#[derive(Clone, Debug)]
+/// A class of requests. One that comes back with any other figure is another class.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
+    /// What the protocol calls it.
+    pub name: String,
     /// Answers inside this span earn the full worth.
     pub aim: Micros,
     /// How much of a request's own work is added to the aim.
@@ -174,6 +178,8 @@
         check(!self.classes.is_empty(), "classes", "there must be at least one")?;
         for (i, class) in self.classes.iter().enumerate() {
             let field = |name: &str| format!("classes[{i}].{name}");
+            let namesake = self.classes[..i].iter().any(|c| c.name == class.name && !c.name.is_empty());
+            check(!namesake, &field("name"), "is that of another class")?;
             check(class.aim > 0, &field("aim"), "must be above 0")?;
             check(class.deadline >= class.aim, &field("deadline"), "must not be under the aim")?;
             check(class.worth.is_finite() && class.worth >= 0.0, &field("worth"), "must be 0 or more")?;
@@ -240,8 +246,8 @@
 pub struct Request {
     /// Its id.
     pub id: RequestId,
-    /// Position of its class in the settings.
-    pub class: u8,
+    /// The number of its class: its position in the settings, as long as there were no others.
+    pub class: ClassNumber,
     /// Position of its tenant in the settings.
     pub tenant: u16,
     /// What it is about.
@@ -327,6 +333,8 @@
         /// Whether nothing new may go there.
         out: bool,
     },
+    /// Other settings are in force from now on. They make sense ([`Settings::validate`]).
+    Settings(&'a Settings),
     /// How many processes serve in this instance's place while one replaces another.
     Company {
         /// Their number, this one among them.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -7,8 +7,8 @@
 //! nothing after it), `ready` (drains) and `ColdBudget` (cold servers).
 
 use crate::api::{
-    Action, Backend, BackendId, DedupGroup, Effect, Event, Membership, Micros, Outcome, Readiness, Request,
-    Settings, SettingsError, Settled,
+    Action, Backend, BackendId, Class, ClassNumber, DedupGroup, Effect, Event, Membership, Micros, Outcome,
+    Readiness, Request, Settings, SettingsError, Settled, Tenant,
 };
 use crate::state::{
     Attempt, AttemptState, Bucket, ColdBudget, CommonLimit, Latency, Open, PeakRate, Pool, Requests, Scope,
@@ -101,7 +101,10 @@
 
 /// The decisions of one proxy.
 pub struct Balancer {
+    /// The settings in force. Their classes are all that ever were: a request keeps its class to its end.
     settings: Settings,
+    /// The numbers of the classes in force, in the order of the settings.
+    in_use: Vec<ClassNumber>,
     rng: fastrand::Rng,
     servers: Vec<Server>,
     index: FxHashMap<BackendId, usize>,
@@ -132,17 +135,15 @@
     /// The first of the settings that makes no sense.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Self, SettingsError> {
         settings.validate()?;
-        let latency = |aim: Micros| Latency { count: 0, mean: aim as f64 / 4.0 };
         let kinds = usize::from(settings.kinds).max(1);
-        let latencies = settings.classes.iter().flat_map(|c| vec![latency(c.aim); kinds]).collect();
+        let latencies = settings.classes.iter().flat_map(|c| vec![Latency::expected(c); kinds]).collect();
         let window = Window { since: now, ..Window::default() };
         let served = PeakRate { count: 0.0, since: now, peak: 0.0 };
         let common =
             CommonLimit { limit: INITIAL_LIMIT, growing: true, window, service: 0.0, served, ready: 0 };
-        let share = f64::from(settings.balancers);
-        let bucket =
-            |t: &crate::api::Tenant| Bucket { tokens: t.allowance_per_s / share, at: now, asked: 0.0 };
+        let tenants = settings.tenants.iter().map(|t| Bucket::new(now, t, settings.balancers)).collect();
         Ok(Self {
+            in_use: (0..settings.classes.len() as ClassNumber).collect(),
             rng: fastrand::Rng::with_seed(seed),
             servers: Vec::new(),
             index: FxHashMap::default(),
@@ -153,7 +154,7 @@
             in_flight: 0,
             latencies,
             kinds: vec![common; kinds],
-            tenants: settings.tenants.iter().map(bucket).collect(),
+            tenants,
             retry_tokens: RETRY_BURST,
             rest: (settings.permissions.conn_idle as f64, now),
             pool: Pool { slots: 0.0, spread: 1.0, most: u32::MAX, judged_at: None },
@@ -180,12 +181,57 @@
                 }
             }
             Event::Maintenance { backend, out: away } => self.on_maintenance(now, backend, away, out),
+            Event::Settings(settings) => self.on_settings(now, settings, out),
             Event::Company { processes } => self.processes = processes.max(1),
             Event::Probed { .. } => {}
             Event::Timer(token) => self.on_timer(now, token, out),
         }
     }
 
+    // ---- Settings ----
+
+    /// The numbers of the classes in force, in the order of the settings.
+    #[must_use]
+    pub fn classes(&self) -> &[ClassNumber] {
+        &self.in_use
+    }
+
+    /// New settings count at once for whatever comes. Of what is under way, attempts are bounded anew and
+    /// each request keeps its class: classes are only added, and one whose figures are others is another
+    /// class, with the latencies of its namesake to start from. Kinds and zones keep their numbers.
+    fn on_settings(&mut self, now: Micros, new: &Settings, out: &mut Vec<Action>) {
+        let old_kinds = self.kinds.len();
+        let mut settings = new.clone();
+        settings.kinds = new.kinds.max(self.settings.kinds);
+        let mut common = self.kinds[0].clone();
+        (common.limit, common.growing, common.ready) = (INITIAL_LIMIT, true, 0);
+        self.kinds.resize(usize::from(settings.kinds).max(1), common);
+        let mut classes = std::mem::take(&mut self.settings.classes);
+        let kinds = self.kinds.len();
+        let known = |class: usize, kind: usize| self.latencies[class * old_kinds + kind.min(old_kinds - 1)];
+        let mut latencies: Vec<Latency> =
+            (0..classes.len()).flat_map(|class| (0..kinds).map(move |kind| known(class, kind))).collect();
+        self.in_use.clear();
+        for class in &new.classes {
+            let number = classes.iter().position(|c| c == class).unwrap_or(classes.len());
+            if number == classes.len() {
+                let namesake = classes.iter().rposition(|c| c.name == class.name);
+                let start = |kind| namesake.map_or(Latency::expected(class), |n| latencies[n * kinds + kind]);
+                let starts: Vec<_> = (0..kinds).map(start).collect();
+                latencies.extend(starts);
+                classes.push(class.clone());
+            }
+            self.in_use.push(number as ClassNumber);
+        }
+        settings.classes = classes;
+        let spare = settings.tenants.iter().skip(self.tenants.len());
+        self.tenants.extend(spare.map(|t| Bucket::new(now, t, settings.balancers)));
+        self.tenants.truncate(settings.tenants.len());
+        (self.latencies, self.settings) = (latencies, settings);
+        self.pool.judged_at = None;
+        self.serve_held(now, out);
+    }
+
     // ---- Discovery ----
 
     fn on_membership(&mut self, now: Micros, news: Membership<'_>, out: &mut Vec<Action>) {
@@ -345,7 +391,7 @@
         if self.open.find(request.id).is_some() {
             return;
         }
-        let class = usize::from(request.class).min(self.settings.classes.len() - 1);
+        let class = (request.class as usize).min(self.settings.classes.len() - 1);
         let over_share = self.over_share(now, usize::from(request.tenant));
         let open = Open {
             id: request.id,
@@ -938,6 +984,11 @@
 }
 
 impl Latency {
+    /// What is expected of a class before anything was measured.
+    fn expected(class: &Class) -> Self {
+        Self { count: 0, mean: class.aim as f64 / 4.0 }
+    }
+
     fn add(&mut self, elapsed: f64) {
         self.count += 1;
         self.mean += (elapsed - self.mean) * LATENCY_WEIGHT.max(1.0 / f64::from(self.count));
@@ -945,6 +996,10 @@
 }
 
 impl Bucket {
+    fn new(now: Micros, tenant: &Tenant, balancers: u32) -> Self {
+        Self { tokens: tenant.allowance_per_s / f64::from(balancers), at: now, asked: 0.0 }
+    }
+
     /// What was asked for within the last seconds.
     fn recent(&self, now: Micros) -> f64 {
         self.asked * (1.0 - (now - self.at) as f64 / 4e6).max(0.0)
--- a/src/bin/haventrack-proxy.rs
+++ b/src/bin/haventrack-proxy.rs
@@ -6,10 +6,10 @@
 use haventrack::proxy::backends::Fleet;
 use haventrack::proxy::clients::Clients;
 use haventrack::proxy::clock::Clock;
-use haventrack::proxy::config::Config;
+use haventrack::proxy::config::{Config, Names};
 use haventrack::proxy::discovery::{Numbers, Translator, Watcher};
 use haventrack::proxy::drain::Drain;
-use haventrack::proxy::driver::{Driver, Limits};
+use haventrack::proxy::driver::{Driver, Handle, Limits, Message};
 use haventrack::proxy::handover::{self, Bans, Company, Held, Predecessor};
 use haventrack::proxy::log;
 use std::cell::{Cell, RefCell};
@@ -18,10 +18,9 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::LocalSet;
 
 /// The kernel's queue of connections that are not accepted yet.
@@ -55,22 +54,41 @@
     reload: Signal,
 }
 
-/// Reads the configuration again and tells where discovery listens now. What can't be read changes nothing: the
-/// proxy goes on with what it has.
-fn reload(discovery: &watch::Sender<SocketAddr>) {
-    match Config::from_env() {
-        Ok(config) => _ = discovery.send_replace(config.discovery),
-        Err(error) => log(format_args!("SIGHUP changes nothing: {error}")),
+/// What a new configuration changes.
+struct Settled {
+    clients: Rc<Clients>,
+    fleet: Rc<Fleet>,
+    handle: Handle,
+    /// Where discovery listens, and the names in its lists.
+    discovery: watch::Sender<(SocketAddr, Names)>,
+    config: Config,
+}
+
+impl Settled {
+    /// Reads the configuration again. Either all of it is taken or none: what is not whole or makes no sense changes
+    /// nothing, and the proxy goes on with what it has.
+    async fn reload(&mut self) -> Result<(), Box<dyn Error>> {
+        let config = self.config.again_from_env()?;
+        let (numbers, told) = oneshot::channel();
+        self.handle.tell(Message::Settings(Box::new(config.settings.clone()), numbers));
+        let numbers = told.await?;
+        self.clients.adopt(&config.settings, &config.names, &numbers);
+        let report = config.names.report.clone();
+        self.fleet.retune(config.dial_timeout, config.settings.permissions.conn_idle, report);
+        self.discovery.send_replace((config.discovery, config.names.clone()));
+        let classes: Vec<_> = config.settings.classes.iter().map(|c| c.name.as_str()).collect();
+        log(format_args!("SIGHUP: new configuration in force, classes {}", classes.join(", ")));
+        self.config = config;
+        Ok(())
     }
 }
 
-async fn run(config: Config, mut signals: Signals) -> Result<(), Box<dyn Error>> {
+async fn run(mut config: Config, mut signals: Signals) -> Result<(), Box<dyn Error>> {
     let clock = Clock::start();
     let (listener, predecessor) = open_door(&config)?;
     let listener = Rc::new(listener);
     log(format_args!("{} listens on {}", config.name, listener.local_addr()?));
-    let settings = config.settings;
-    let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+    let settings = config.settings.clone();
     let asked = settings.discovery_on_request;
     let limits =
         Limits { max_attempts: settings.permissions.max_attempts, report_by_probe: settings.report_by_probe };
@@ -97,17 +115,17 @@
         let (drain, held, handle) = (Rc::clone(&drain), Rc::clone(&held), handle.clone());
         (address, Operations::new(drain, held, handle, Rc::clone(&numbers), Bans::shared()))
     });
-    watcher.start_from(config.known);
+    watcher.start_from(config.known.take());
     let (names, most) = (&config.names, config.client_sockets);
     let clients = Clients::new(handle.clone(), clock, &settings, names, held, Rc::clone(&drain), most);
     let most = Held { clients: config.client_sockets, backends: config.backend_sockets };
     let (door, both) = (Rc::clone(&listener), (Rc::clone(&clients), Rc::clone(&fleet)));
-    let company = Company::new(door, numbers, handle, both.0, both.1, most);
+    let company = Company::new(door, numbers, handle.clone(), both.0, both.1, most);
 
     let mut driver = tokio::task::spawn_local(driver.run());
-    let (discovery, moves) = watch::channel(config.discovery);
+    let (discovery, moves) = watch::channel((config.discovery, config.names.clone()));
     tokio::task::spawn_local(watcher.run(moves));
-    tokio::task::spawn_local(fleet.sweep());
+    tokio::task::spawn_local(Rc::clone(&fleet).sweep());
     let accept = tokio::task::spawn_local(Rc::clone(&clients).accept(listener));
     if let Some((address, operations)) = operations {
         let listener = listen(address, false).map_err(|e| format!("cannot listen on {address}: {e}"))?;
@@ -117,16 +135,19 @@
         predecessor.into_iter().for_each(|other| company.follow(other));
         tokio::task::spawn_local(Rc::clone(&company).serve());
     }
+    let mut settled = Settled { clients: Rc::clone(&clients), fleet, handle, discovery, config };
     loop {
         tokio::select! {
             ended = &mut driver => return Err(format!("the driver ended: {ended:?}").into()),
-            Some(()) = signals.reload.recv() => reload(&discovery),
+            Some(()) = signals.reload.recv() => if let Err(error) = settled.reload().await {
+                log(format_args!("SIGHUP changes nothing: {error}"));
+            },
             _ = signals.stop.recv() => {
                 let replaced = company.has_successor();
                 if replaced {
                     accept.abort();
                 }
-                drain.stop(&clients, Duration::from_micros(longest), replaced).await;
+                drain.stop(&clients, replaced).await;
                 return Ok(());
             }
         }
--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -232,9 +232,9 @@
     banned: RefCell<FxHashSet<BackendId>>,
     sockets: Rc<Cell<usize>>,
     most_sockets: Cell<usize>,
-    dial_timeout: Duration,
-    idle_limit: Duration,
-    report_fields: Vec<String>,
+    dial_timeout: Cell<Duration>,
+    idle_limit: Cell<Duration>,
+    report_fields: RefCell<Vec<String>>,
 }
 
 impl Fleet {
@@ -247,16 +247,25 @@
         conn_idle: Micros,
         report_fields: Vec<String>,
     ) -> Rc<Self> {
-        let idle = Duration::from_micros(conn_idle);
-        Rc::new(Self {
+        let fleet = Self {
             servers: RefCell::default(),
             banned: RefCell::default(),
             sockets: Rc::default(),
             most_sockets: Cell::new(most_sockets),
-            dial_timeout: Duration::from_micros(dial_timeout),
-            idle_limit: idle.saturating_sub(IDLE_MARGIN).max(idle / 2),
-            report_fields,
-        })
+            dial_timeout: Cell::default(),
+            idle_limit: Cell::default(),
+            report_fields: RefCell::default(),
+        };
+        fleet.retune(dial_timeout, conn_idle, report_fields);
+        Rc::new(fleet)
+    }
+
+    /// Takes other settings for what comes.
+    pub fn retune(&self, dial_timeout: Micros, conn_idle: Micros, report_fields: Vec<String>) {
+        let idle = Duration::from_micros(conn_idle);
+        self.dial_timeout.set(Duration::from_micros(dial_timeout));
+        self.idle_limit.set(idle.saturating_sub(IDLE_MARGIN).max(idle / 2));
+        self.report_fields.replace(report_fields);
     }
 
     /// Takes what discovery says of one backend.
@@ -334,7 +343,7 @@
     }
 
     fn is_usable(&self, idle: &Idle) -> bool {
-        !idle.conn.sender.is_closed() && idle.since.elapsed() < self.idle_limit
+        !idle.conn.sender.is_closed() && idle.since.elapsed() < self.idle_limit.get()
     }
 
     /// The connection that was used last: the others may then grow old and be closed.
@@ -380,7 +389,7 @@
         }
         let counted = Counted::new(&self.sockets);
         let life = server.life.get();
-        let until = until.min(Instant::now() + self.dial_timeout);
+        let until = until.min(Instant::now() + self.dial_timeout.get());
         let stream = timeout_at(until, TcpStream::connect(server.address.get())).await.ok()?.ok()?;
         Conn::over(stream, life, counted).await
     }
@@ -471,12 +480,12 @@
             let found = pairs.find(|(name, _)| name.trim() == field);
             found.and_then(|(_, value)| value.trim().parse().ok()).unwrap_or(f32::NAN)
         };
-        self.report_fields.iter().map(value).collect()
+        self.report_fields.borrow().iter().map(value).collect()
     }
 
     /// Asks a backend whether it lives; with `deep` for its load report as well.
     pub async fn probe(self: Rc<Self>, server: Rc<Server>, deep: bool) -> Ended {
-        let until = Instant::now() + self.dial_timeout + PROBE_TIMEOUT;
+        let until = Instant::now() + self.dial_timeout.get() + PROBE_TIMEOUT;
         let conn = match self.take_idle(&server) {
             Some(conn) => Some(conn),
             None => self.dial(&server, until).await,
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -6,7 +6,7 @@
 use super::drain::{Drain, Phase};
 use super::driver::{Answer, Handle, Inbound, Message};
 use super::{BODY_CAP, log};
-use crate::api::{Effect, Micros, RequestId, Settings};
+use crate::api::{ClassNumber, Effect, Micros, RequestId, Settings};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -16,7 +16,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rustc_hash::{FxHashMap, FxHasher};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
 use std::hash::Hasher;
@@ -55,18 +55,43 @@
 const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
 const WEIGHT_HINT: HeaderName = HeaderName::from_static("x-weight-hint");
 
+#[derive(Clone)]
 struct Class {
+    number: ClassNumber,
     deadline: Micros,
     keyed: bool,
     method: Method,
 }
 
+/// What the settings in force name.
+struct Table {
+    classes: FxHashMap<String, Class>,
+    tenants: FxHashMap<String, u16>,
+    longest: Micros,
+}
+
+impl Table {
+    fn new(settings: &Settings, names: &Names, numbers: &[ClassNumber]) -> Self {
+        let class = |c: &crate::api::Class, number| Class {
+            number,
+            deadline: c.deadline,
+            keyed: matches!(c.effect, Effect::Keyed { .. }),
+            method: if c.effect == Effect::Safe { Method::GET } else { Method::POST },
+        };
+        let classes = settings.classes.iter().zip(numbers).map(|(c, &n)| (c.name.clone(), class(c, n)));
+        Self {
+            classes: classes.collect(),
+            tenants: names.tenants.iter().cloned().zip(0..).collect(),
+            longest: settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default(),
+        }
+    }
+}
+
 /// What all client connections share.
 pub struct Clients {
     handle: Handle,
     clock: Clock,
-    classes: FxHashMap<String, (u8, Class)>,
-    tenants: FxHashMap<String, u16>,
+    table: RefCell<Rc<Table>>,
     held: Rc<Cell<bool>>,
     drain: Rc<Drain>,
     phase: watch::Receiver<Phase>,
@@ -96,17 +121,11 @@
         drain: Rc<Drain>,
         most: usize,
     ) -> Rc<Self> {
-        let class = |c: &crate::api::Class| Class {
-            deadline: c.deadline,
-            keyed: matches!(c.effect, Effect::Keyed { .. }),
-            method: if c.effect == Effect::Safe { Method::GET } else { Method::POST },
-        };
-        let classes = names.classes.iter().zip(0..=u8::MAX).zip(&settings.classes);
+        let numbers: Vec<_> = (0..settings.classes.len() as ClassNumber).collect();
         Rc::new(Self {
             handle,
             clock,
-            classes: classes.map(|((name, i), c)| (name.clone(), (i, class(c)))).collect(),
-            tenants: names.tenants.iter().cloned().zip(0..).collect(),
+            table: RefCell::new(Rc::new(Table::new(settings, names, &numbers))),
             held,
             phase: drain.phases(),
             drain,
@@ -119,6 +138,21 @@
         })
     }
 
+    /// Takes other settings for whatever comes; `numbers` are those of the classes, in the settings' order. What is
+    /// being read keeps the class that it came with.
+    pub fn adopt(&self, settings: &Settings, names: &Names, numbers: &[ClassNumber]) {
+        let mut table = Table::new(settings, names, numbers);
+        // Requests of the longest class so far may be under way.
+        table.longest = table.longest.max(self.table.borrow().longest);
+        self.table.replace(Rc::new(table));
+    }
+
+    /// The longest deadline of a request that may be under way.
+    #[must_use]
+    pub fn longest(&self) -> Duration {
+        Duration::from_micros(self.table.borrow().longest)
+    }
+
     /// Open client connections.
     #[must_use]
     pub fn open(&self) -> usize {
@@ -275,7 +309,8 @@
         let bad = |why| Rejected(StatusCode::BAD_REQUEST, why);
         let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
         let in_path = head.uri.path().split('/').nth(1).unwrap_or_default();
-        let (class, facts) = self.classes.get(in_path).ok_or(bad("unknown class\n"))?;
+        let table = Rc::clone(&self.table.borrow());
+        let facts = table.classes.get(in_path).ok_or(bad("unknown class\n"))?;
         if head.headers.contains_key(SERVICE_CLASS) && text(SERVICE_CLASS) != Some(in_path) {
             return Err(bad("the class of the header is not that of the path\n"));
         }
@@ -290,15 +325,15 @@
             return Err(bad("X-Correlation-Id is missing\n"));
         }
         let tenant = match text(ACCOUNT) {
-            _ if self.tenants.is_empty() => 0,
-            account => *account.and_then(|a| self.tenants.get(a)).ok_or(bad("unknown account\n"))?,
+            _ if table.tenants.is_empty() => 0,
+            account => *account.and_then(|a| table.tenants.get(a)).ok_or(bad("unknown account\n"))?,
         };
         let time_left = text(TIME_LEFT).and_then(|v| v.trim().parse::<u64>().ok());
         let time_left = time_left.filter(|&ms| ms <= MOST_TIME_LEFT_MS);
         let patience = time_left.ok_or(bad("X-Time-Left-Ms is missing or makes no sense\n"))? * 1_000;
         let request = crate::api::Request {
             id: self.handle.number(),
-            class: *class,
+            class: facts.number,
             tenant,
             key: head.uri.query().and_then(key),
             patience: patience.min(facts.deadline),
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -26,6 +26,8 @@
     Address(&'static str, String),
     /// A setting makes no sense.
     Settings(SettingsError),
+    /// A key that the configuration in force has is missing.
+    Incomplete(String),
 }
 
 impl fmt::Display for ConfigError {
@@ -36,6 +38,7 @@
             Self::Malformed(error) => write!(f, "malformed configuration: {error}"),
             Self::Address(field, given) => write!(f, "`{field}` is no address: `{given}`"),
             Self::Settings(error) => write!(f, "{error}"),
+            Self::Incomplete(key) => write!(f, "`{key}` is missing"),
         }
     }
 }
@@ -43,10 +46,8 @@
 impl std::error::Error for ConfigError {}
 
 /// The names that the protocol uses and the module knows by their position.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Names {
-    /// Request classes.
-    pub classes: Vec<String>,
     /// Tenants; may be empty.
     pub tenants: Vec<String>,
     /// Zones.
@@ -82,6 +83,8 @@
     pub client_sockets: usize,
     /// Backend connections that may be open at a time, idle ones too.
     pub backend_sockets: usize,
+    /// The keys that another file has to have as well, with their values.
+    keys: Value,
 }
 
 #[derive(Deserialize)]
@@ -119,8 +122,6 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct RawNames {
-    #[serde(default)]
-    classes: Vec<Named>,
     #[serde(default)]
     tenants: Vec<Named>,
     #[serde(default)]
@@ -157,35 +158,54 @@
         Self::parse(&text, |name| env::var(name).ok())
     }
 
+    /// Reads the file again, to take the place of this configuration. A file that lacks what this one has is not
+    /// whole, though what is there may make sense.
+    ///
+    /// # Errors
+    /// Says what is missing or wrong.
+    pub fn again_from_env(&self) -> Result<Self, ConfigError> {
+        let next = Self::from_env()?;
+        match missing("", &self.keys, &next.keys) {
+            None => Ok(next),
+            Some(key) => Err(ConfigError::Incomplete(key)),
+        }
+    }
+
     /// Reads the configuration from JSON text; `variable` fills in what the text leaves out.
     ///
     /// # Errors
     /// Says what is missing or wrong.
     pub fn parse(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let raw: RawConfig = serde_json::from_slice(text).map_err(ConfigError::Malformed)?;
+        let keys = keys(text)?;
         let address = |field: &'static str, given: Option<String>, name: &str| {
             let given = given.or_else(|| variable(name)).unwrap_or_default();
             given.parse().map_err(|_| ConfigError::Address(field, given))
         };
+        let listen = address("listen", raw.listen, "EDGE_LISTEN")?;
+        let discovery = address("discovery", raw.discovery, "EDGE_DISCOVERY")?;
         let settings = serde_json::to_vec(&raw.settings).map_err(ConfigError::Malformed)?;
         let more: RawNames = serde_json::from_value(raw.settings).map_err(ConfigError::Malformed)?;
+        let settings = parse_settings(&settings).map_err(ConfigError::Settings)?;
+        if let Some(nameless) = settings.classes.iter().position(|c| c.name.is_empty()) {
+            return Err(ConfigError::Incomplete(format!("settings.classes[{nameless}].name")));
+        }
         let named = |list: Vec<Named>| list.into_iter().map(|n| n.name).collect();
         let sockets = raw.limits.sockets.unwrap_or(DEFAULT_SOCKETS).max(2 * RESERVED_SOCKETS);
         // No more than a third may be clients' connections; what is left serves as backends' connections.
         let client_sockets = (sockets / 3).min((sockets - RESERVED_SOCKETS) / 2);
         Ok(Self {
             name: raw.name.or_else(|| variable("EDGE_NAME")).unwrap_or_default(),
-            listen: address("listen", raw.listen, "EDGE_LISTEN")?,
-            discovery: address("discovery", raw.discovery, "EDGE_DISCOVERY")?,
+            listen,
+            discovery,
             admin: match raw.admin_addr.or_else(|| variable("EDGE_ADMIN_ADDR")) {
                 Some(given) => Some(address("admin_addr", Some(given), "EDGE_ADMIN_ADDR")?),
                 None => None,
             },
             seed: seed(&raw.seed),
             known: raw.known,
-            settings: parse_settings(&settings).map_err(ConfigError::Settings)?,
+            settings,
             names: Names {
-                classes: named(more.classes),
                 tenants: named(more.tenants),
                 zones: more.failure_domains,
                 kinds: more.kinds,
@@ -194,10 +214,42 @@
             dial_timeout: more.permissions.dial_timeout_us.filter(|&t| t > 0).unwrap_or(DEFAULT_DIAL),
             client_sockets,
             backend_sockets: sockets - RESERVED_SOCKETS - client_sockets,
+            keys,
         })
     }
 }
 
+/// The part of a configuration that has to be there again: not what tells one start from another.
+fn keys(text: &[u8]) -> Result<Value, ConfigError> {
+    let mut keys: Value = serde_json::from_slice(text).map_err(ConfigError::Malformed)?;
+    if let Some(object) = keys.as_object_mut() {
+        for name in ["known", "seed", "admin_addr"] {
+            object.remove(name);
+        }
+    }
+    Ok(keys)
+}
+
+/// The first key that an object has and its successor has not, and so for the objects in it. Of a list's objects
+/// each has to have the keys that all had.
+fn missing(path: &str, old: &Value, new: &Value) -> Option<String> {
+    match (old, new) {
+        (Value::Object(old), Value::Object(new)) => old.iter().find_map(|(key, old)| {
+            let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+            new.get(key).map_or(Some(path.clone()), |new| missing(&path, old, new))
+        }),
+        (Value::Array(old), Value::Array(new)) => {
+            let (first, rest) = old.split_first()?;
+            let mut common = first.as_object()?.clone();
+            common.retain(|key, _| rest.iter().all(|other| other.get(key).is_some()));
+            let common = Value::Object(common);
+            new.iter().enumerate().find_map(|(i, new)| missing(&format!("{path}[{i}]"), &common, new))
+        }
+        (Value::Object(_), _) => Some(path.to_owned()),
+        _ => None,
+    }
+}
+
 /// The seed comes as hexadecimal text; a number is taken as well.
 fn seed(value: &Value) -> u64 {
     let text = value.as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -150,12 +150,24 @@
 }
 
 impl Translator {
+    /// Takes other settings' names for what is listed from now on.
+    fn rename(&mut self, names: &Names) {
+        self.zones = names.zones.iter().cloned().zip(0..).collect();
+        self.kinds = names.kinds.iter().cloned().zip(0..=u8::MAX).collect();
+    }
+
     /// A translator that knows the zones and kinds, and adds to the numbers of backends.
     #[must_use]
     pub fn new(clock: Clock, names: &Names, numbers: Rc<RefCell<Numbers>>) -> Self {
-        let zones = names.zones.iter().cloned().zip(0..).collect();
-        let kinds = names.kinds.iter().cloned().zip(0..=u8::MAX).collect();
-        Self { clock, zones, kinds, numbers, starts: FxHashMap::default() }
+        let mut translator = Self {
+            clock,
+            zones: FxHashMap::default(),
+            kinds: FxHashMap::default(),
+            numbers,
+            starts: FxHashMap::default(),
+        };
+        translator.rename(names);
+        translator
     }
 
     /// Reads a list. Entries that make no sense are logged and passed over.
@@ -287,13 +299,17 @@
         self.handle.tell(Message::Listed(Scope::Cached, entries));
     }
 
-    /// Follows discovery for as long as the proxy runs, at each address that `moves` tells.
-    pub async fn run(mut self, mut moves: watch::Receiver<SocketAddr>) {
+    /// Follows discovery for as long as the proxy runs, at each address and with the names that `moves` tells.
+    pub async fn run(mut self, mut moves: watch::Receiver<(SocketAddr, Names)>) {
         loop {
             // A call that a move cuts short leaves nothing behind but its connection, which it drops.
             tokio::select! {
                 biased;
-                Ok(()) = moves.changed() => self.move_to(*moves.borrow_and_update()),
+                Ok(()) = moves.changed() => {
+                    let (address, names) = &*moves.borrow_and_update();
+                    self.translator.rename(names);
+                    self.move_to(*address);
+                }
                 () = self.step() => {}
             }
         }
--- a/src/proxy/drain.rs
+++ b/src/proxy/drain.rs
@@ -97,7 +97,8 @@
 
     /// Finishes what was taken, and what still comes, before the process ends. Where it is `replaced`, the other
     /// process takes what still comes.
-    pub async fn stop(&self, clients: &Clients, longest: Duration, replaced: bool) {
+    pub async fn stop(&self, clients: &Clients, replaced: bool) {
+        let longest = clients.longest();
         self.stopping.set(true);
         self.replaced.set(replaced);
         let began = Instant::now();
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -6,7 +6,8 @@
 use super::discovery::Listed;
 use super::log;
 use crate::api::{
-    Action, Backend, BackendId, Event, Membership, Micros, Outcome, Request, RequestId, Settled,
+    Action, Backend, BackendId, ClassNumber, Event, Membership, Micros, Outcome, Request, RequestId,
+    Settings, Settled,
 };
 use crate::balancer::Balancer;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -76,6 +77,8 @@
     Listed(Scope, Vec<Listed>),
     /// The operators take a backend out of use (true) or give it back; the word is sent once that is in force.
     Maintenance(BackendId, bool, Option<oneshot::Sender<()>>),
+    /// Other settings are in force; the numbers of their classes are sent back.
+    Settings(Box<Settings>, oneshot::Sender<Vec<ClassNumber>>),
     /// How many processes serve in this proxy's place, this one among them.
     Company(u32),
 }
@@ -257,6 +260,12 @@
                 self.settle(now);
             }
             Message::Listed(scope, entries) => self.on_list(now, scope, &entries),
+            Message::Settings(settings, numbers) => {
+                self.max_attempts = usize::from(settings.permissions.max_attempts);
+                self.report_by_probe = settings.report_by_probe;
+                self.feed(now, Event::Settings(&settings));
+                let _ = numbers.send(self.balancer.classes().to_vec());
+            }
             Message::Company(processes) => self.feed(now, Event::Company { processes }),
             Message::Maintenance(backend, out, done) => {
                 self.fleet.ban(backend, out);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -102,7 +102,7 @@
         };
         Some(Request {
             id,
-            class,
+            class: class.into(),
             tenant,
             key: (key != 0).then_some(key),
             patience: Micros::from(patience),
@@ -361,6 +361,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct RawClass {
+    #[serde(default)]
+    name: String,
     aim_us: Micros,
     #[serde(default)]
     aim_stretch: f64,
@@ -483,6 +485,7 @@
         other => return Err(unknown(&format!("classes[{index}].effect"), other)),
     };
     Ok(Class {
+        name: raw.name.clone(),
         aim: raw.aim_us,
         aim_stretch: raw.aim_stretch,
         deadline: raw.deadline_us,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -11,7 +11,15 @@
 const SLACK: Micros = 20 * MS;
 
 pub fn class(effect: Effect) -> Class {
-    Class { aim: 500 * MS, aim_stretch: 0.0, deadline: 2 * SECOND, worth: 1.0, late_worth: 0.0, effect }
+    Class {
+        name: String::new(),
+        aim: 500 * MS,
+        aim_stretch: 0.0,
+        deadline: 2 * SECOND,
+        worth: 1.0,
+        late_worth: 0.0,
+        effect,
+    }
 }
 
 /// Two zones, one proxy, one class of each effect: safe, unsafe, keyed for all, for a zone, for a cell.
@@ -70,7 +78,7 @@
 }
 
 pub fn request(id: RequestId, class: u8) -> Request {
-    Request { id, class, tenant: 0, key: None, patience: 2 * SECOND, work: None, repeat: false }
+    Request { id, class: class.into(), tenant: 0, key: None, patience: 2 * SECOND, work: None, repeat: false }
 }
 
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -90,7 +98,7 @@
 
 #[derive(Clone, Debug)]
 pub struct Tracked {
-    pub class: u8,
+    pub class: u32,
     pub deadline: Micros,
     pub ended: bool,
     pub attempts: Vec<Attempt>,
@@ -177,7 +185,7 @@
         let out = tracked.attempts.iter().any(|a| a.state == State::Out);
         assert!(!out || settings.permissions.second_copies, "rule 2: two attempts out");
         let ran: Vec<&Attempt> = tracked.attempts.iter().filter(|a| a.state != State::NeverRan).collect();
-        match settings.classes[usize::from(tracked.class)].effect {
+        match settings.classes[tracked.class as usize].effect {
             Effect::Safe => {}
             Effect::Unsafe => assert!(ran.is_empty(), "rule 2: an unsafe request was repeated"),
             Effect::Keyed { group, ttl } => {
@@ -200,7 +208,7 @@
         assert!(!tracked.ended, "rule 1: two final answers");
         assert!(self.now <= tracked.deadline + SLACK, "rule 1: a late final answer");
         let may_have_run = tracked.attempts.iter().any(|a| a.state != State::NeverRan);
-        let harmless = match self.settings.classes[usize::from(tracked.class)].effect {
+        let harmless = match self.settings.classes[tracked.class as usize].effect {
             Effect::Safe | Effect::Keyed { group: DedupGroup::All, .. } => true,
             _ => !may_have_run,
         };
@@ -233,7 +241,7 @@
     }
 
     pub fn request(&mut self, request: Request) -> Vec<Action> {
-        let class = request.class.min(self.settings.classes.len() as u8 - 1);
+        let class = request.class.min(self.settings.classes.len() as u32 - 1);
         let tracked =
             Tracked { class, deadline: self.now + request.patience, ended: false, attempts: Vec::new() };
         assert!(self.requests.insert(request.id, tracked).is_none());
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -814,3 +814,159 @@
     assert!(held(&old) + held(&new) <= 96, "{} and {}", held(&old), held(&new));
     drop((early, late));
 }
+
+/// The configuration with these classes, each named with its effect.
+fn with_classes(config: &serde_json::Value, classes: &[(&str, &str)]) -> serde_json::Value {
+    let mut config = config.clone();
+    let mut class = config["settings"]["classes"][0].clone();
+    let listed = classes.iter().map(|&(name, effect)| {
+        class["name"] = name.into();
+        class["effect"] = effect.into();
+        class.clone()
+    });
+    config["settings"]["classes"] = listed.collect();
+    config
+}
+
+/// Replaces the configuration, has it read, and waits for `took` to say that it is in force.
+fn retune(proxy: &Proxy, name: &str, config: &serde_json::Value, took: impl Fn() -> bool) {
+    write_config(name, &config.to_string());
+    proxy.hang_up();
+    let began = std::time::Instant::now();
+    while !took() {
+        assert!(began.elapsed() < PATIENCE, "the new configuration is never in force");
+    }
+}
+
+/// retune: classes of a new configuration were unknown until the next start.
+#[test]
+fn at_sighup_classes_come_and_go_and_requests_under_way_keep_theirs() {
+    let discovery = Discovery::start();
+    let (release, word) = channel();
+    let mut word = Some(word);
+    // What is held up is broken off then: only a class that is safe to repeat is sent again.
+    let backend = Backend::start(move |seen| match seen.header("x-correlation-id") {
+        Some("held") => match word.take() {
+            Some(word) => Reply::After(word, Box::new(Reply::WriteAndClose(Vec::new()))),
+            None => ok("again"),
+        },
+        _ => ok("fine"),
+    });
+    let other = Backend::start(|_| ok("again"));
+    let first = config("classes", &discovery);
+    let proxy = Proxy::start_with("classes", first.clone());
+    let one = entry("s-1", backend.address, "active", 0);
+    discovery.post(true, std::slice::from_ref(&one));
+    let ask = |class: &str, id: &str| proxy.client().ask(&request(class, id, "")).status();
+    assert_eq!((ask("read", "1"), ask("late", "2")), (200, 400));
+    let mut held = proxy.client();
+    held.send(&request("read", "held", ""));
+    while backend.next().header("x-correlation-id") != Some("held") {}
+    discovery.post(true, &[one, entry("s-2", other.address, "active", 0)]);
+    // `read` comes back as one that must not run twice, at another position; `submit` is gone.
+    let stricter = with_classes(&first, &[("late", "fragile"), ("read", "fragile")]);
+    let post = |class: &str, id: &str| {
+        let text = request(class, id, "").replace("GET", "POST");
+        proxy.client().ask(&text).status()
+    };
+    retune(&proxy, "classes", &stricter, || post("late", "3") == 200);
+    assert_eq!((ask("read", "4"), post("read", "5"), ask("submit", "6")), (405, 200, 400));
+    release.send(()).expect("the backend waits");
+    let got = held.receive();
+    assert_eq!((got.status(), got.body.as_slice()), (200, b"again".as_slice()), "it was safe when it came");
+    retune(&proxy, "classes", &first, || ask("read", "7") == 200);
+    assert_eq!((ask("submit", "8"), post("late", "9")), (200, 400));
+}
+
+#[test]
+fn at_sighup_fewer_attempts_are_in_force() {
+    let discovery = Discovery::start();
+    let turn_away = |_: &Seen| Reply::Write(answer("503 Service Unavailable", "X-Unprocessed: 1\r\n", b""));
+    let backends = [0; 3].map(|_| Backend::start(turn_away));
+    let members: Vec<_> =
+        (1..).zip(&backends).map(|(i, b)| entry(&format!("s-{i}"), b.address, "active", 0)).collect();
+    let mut config = config("attempts", &discovery);
+    let proxy = Proxy::start_with("attempts", config.clone());
+    discovery.post(true, &members);
+    let attempts = |id: &str| {
+        let short = request("read", id, "").replace("15000", "5000");
+        assert_eq!(proxy.client().ask(&short).status(), 503);
+        backends.iter().map(Backend::rest).sum::<usize>()
+    };
+    assert_eq!(attempts("1"), 3);
+    config["settings"]["permissions"]["maxAttempts"] = 1.into();
+    // They are left alone for a while after they have turned a request away.
+    retune(&proxy, "attempts", &config, || attempts("2") == 1);
+}
+
+#[test]
+fn a_broken_configuration_changes_nothing_at_all() {
+    let discovery = Discovery::start();
+    let nowhere = Discovery::start();
+    let backend = Backend::start(|_| ok("fine"));
+    let first = config("broken-file", &discovery);
+    let mut proxy = Proxy::start_with("broken-file", first.clone());
+    discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+    // Whatever is wrong comes beside changes that make sense.
+    let mut good = with_classes(&first, &[("late", "fragile"), ("read", "retryable"), ("submit", "dedup")]);
+    good["discovery"] = nowhere.address.to_string().into();
+    let text = good.to_string();
+    let mut files =
+        vec![String::new(), " ".into(), "null".into(), "[]".into(), "{}".into(), "no json".into()];
+    files.extend([1, 2, 3].map(|quarter| text[..text.len() * quarter / 4].to_owned()));
+    let mut broken = |path: &str, value: Option<serde_json::Value>| {
+        let mut file = good.clone();
+        let (parent, key) = path.rsplit_once('/').expect("a path");
+        let parent = file.pointer_mut(parent).expect("an object").as_object_mut().expect("an object");
+        match value {
+            Some(value) => _ = parent.insert(key.to_owned(), value),
+            None => assert!(parent.remove(key).is_some(), "{path}"),
+        }
+        files.push(file.to_string());
+    };
+    for path in [
+        "/discovery",
+        "/listen",
+        "/limits",
+        "/settings",
+        "/settings/classes",
+        "/settings/permissions",
+        "/settings/safety",
+        "/settings/permissions/maxAttempts",
+        "/settings/safety/coldUs",
+        "/settings/permissions/secondCopies",
+        "/settings/classes/0/name",
+        "/settings/classes/1/deadlineUs",
+        "/settings/classes/2/group",
+        "/settings/classes/2/keyTtlUs",
+        "/settings/classes/0/lateWorth",
+    ] {
+        broken(path, None);
+    }
+    for path in ["/settings/classes/1/deadlineUs", "/settings/permissions/maxAttempts"] {
+        for value in
+            [0.into(), (-5).into(), 0.5.into(), "5".into(), serde_json::Value::Null, true.into(), 1e30.into()]
+        {
+            broken(path, Some(value));
+        }
+    }
+    broken("/settings/classes", Some(serde_json::json!([])));
+    broken("/settings/classes/0/name", Some("read".into()));
+    broken("/discovery", Some("nowhere".into()));
+    for file in &files {
+        write_config("broken-file", file);
+        proxy.hang_up();
+        let told = proxy.next_line("SIGHUP");
+        let reason =
+            told.split_once("SIGHUP changes nothing: ").unwrap_or_else(|| panic!("{told:?} of {file}")).1;
+        assert!(!reason.trim().is_empty(), "{file}");
+    }
+    assert_eq!(proxy.client().ask(&request("read", "1", "")).status(), 200);
+    assert_eq!(proxy.client().ask(&request("late", "2", "")).status(), 400);
+    assert!(proxy.child.try_wait().expect("its state").is_none());
+    // And the file that all of them were made of is taken.
+    write_config("broken-file", &text);
+    proxy.hang_up();
+    assert!(proxy.next_line("SIGHUP").contains("in force"));
+    assert_eq!(proxy.client().ask(&request("late", "3", "").replace("GET", "POST")).status(), 200);
+}
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -245,7 +245,7 @@
     pub address: SocketAddr,
     /// Where operators call, if the configuration names a place.
     pub admin: Option<SocketAddr>,
-    _log: BufReader<ChildStderr>,
+    log: BufReader<ChildStderr>,
 }
 
 /// Starts the program with this configuration, its standard error at hand.
@@ -299,7 +299,17 @@
         };
         let address = address_after("listens on ");
         let admin = config.get("admin_addr").map(|_| address_after("operators call at "));
-        Self { child, address, admin, _log: log }
+        Self { child, address, admin, log }
+    }
+
+    /// The next line of its log with this word in it.
+    pub fn next_line(&mut self, word: &str) -> String {
+        let mut line = String::new();
+        while !line.contains(word) {
+            line.clear();
+            assert_ne!(self.log.read_line(&mut line).expect("a log"), 0, "the proxy ended");
+        }
+        line
     }
 
     /// Makes an operator's call and gives the answer.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -413,3 +413,52 @@
     assert!(alone > 20, "the newcomer gets {alone}");
     assert!(both * 4 <= alone * 5, "two processes sent {both}, one alone {alone}");
 }
+
+#[test]
+fn new_settings_count_for_what_comes_and_a_request_under_way_keeps_its_class() {
+    let named = |name: &str, effect| Class { name: name.into(), ..class(effect) };
+    let with = |classes: &[Class], max_attempts| {
+        let mut settings = settings();
+        (settings.classes, settings.permissions.max_attempts) = (classes.to_vec(), max_attempts);
+        settings
+    };
+    let (safe, strict) = (named("read", Effect::Safe), named("read", Effect::Unsafe));
+    let other = named("other", Effect::Safe);
+    let mut proxy = Proxy::new(with(std::slice::from_ref(&safe), 4), (0..4).map(backend));
+    proxy.request(request(1, 0));
+    let next = with(&[other.clone(), strict.clone()], 4);
+    proxy.event(Event::Settings(&next));
+    assert_eq!(proxy.balancer.classes(), [1, 2], "a stricter namesake is a class of its own");
+    proxy.settings.classes = vec![safe.clone(), other, strict];
+    proxy.request(request(2, 2));
+    for (id, again) in [(1, true), (2, false)] {
+        let actions = proxy.settle(id, 0, Outcome::Reset);
+        assert_eq!((sent_to(&actions).is_some(), failed(&actions)), (again, !again), "request {id}");
+    }
+    // The class comes back as it was: it is the same again. And fewer attempts count at once.
+    proxy.event(Event::Settings(&with(std::slice::from_ref(&safe), 2)));
+    assert_eq!(proxy.balancer.classes(), [0]);
+    proxy.settings.permissions.max_attempts = 2;
+    let actions = proxy.settle(1, 1, Outcome::Reset);
+    assert!(refused(&actions), "two attempts are all it may have");
+}
+
+#[test]
+fn settings_with_more_kinds_tenants_and_zones_are_taken_while_requests_are_out() {
+    let mut proxy = Proxy::new(settings(), (0..4).map(backend));
+    second_of_requests(&mut proxy, 0);
+    proxy.request(request(500, 0));
+    let mut more = settings();
+    (more.kinds, more.zones) = (3, 4);
+    more.tenants = vec![Tenant { allowance_per_s: 1_000.0 }; 2];
+    proxy.event(Event::Settings(&more));
+    proxy.list(Membership::Delta(&[Backend { kind: 2, zone: 3, ..backend(6) }]));
+    let mut rare = request(501, 0);
+    rare.tenant = 1;
+    assert!(sent_to(&proxy.request(rare)).is_some());
+    assert_eq!(second_of_requests(&mut proxy, 1_000).values().sum::<usize>(), 100);
+    more.tenants.clear();
+    more.kinds = 1;
+    proxy.event(Event::Settings(&more));
+    assert_eq!(second_of_requests(&mut proxy, 2_000).values().sum::<usize>(), 100);
+}
