Let a SIGHUP that leaves discovery where it is leave its watch alone

Lines at fault: Watcher::run drops the call under way when it is told of an address, and move_to returned at the same address without a word that a call is still due; the first call of all had been made at the module's word, which is not given again (src/proxy/discovery.rs).

--- a/src/bin/haventrack-proxy.rs
+++ b/src/bin/haventrack-proxy.rs
@@ -75,7 +75,12 @@
         self.clients.adopt(&config.settings, &config.names, &numbers);
         let report = config.names.report.clone();
         self.fleet.retune(config.dial_timeout, config.settings.permissions.conn_idle, report);
-        self.discovery.send_replace((config.discovery, config.names.clone()));
+        self.discovery.send_if_modified(|told| {
+            let now = (config.discovery, config.names.clone());
+            let differs = *told != now;
+            *told = now;
+            differs
+        });
         let classes: Vec<_> = config.settings.classes.iter().map(|c| c.name.as_str()).collect();
         log(format_args!("SIGHUP: new configuration in force, classes {}", classes.join(", ")));
         self.config = config;
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -317,13 +317,14 @@
 
     /// Discovery listens elsewhere: the list there need not count its versions as the old one did.
     fn move_to(&mut self, address: SocketAddr) {
+        // A call was cut short for this, and what it was made for still stands.
+        (self.due, self.conn) = (true, None);
         if address == self.address {
             return;
         }
         log(format_args!("discovery moves to {address}"));
         (self.address, self.host) = (address, host(address));
-        (self.conn, self.revision) = (None, None);
-        (self.due, self.failures) = (true, 0);
+        (self.revision, self.failures) = (None, 0);
     }
 
     /// One call and what follows from it.
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -970,3 +970,31 @@
     assert!(proxy.next_line("SIGHUP").contains("in force"));
     assert_eq!(proxy.client().ask(&request("late", "3", "").replace("GET", "POST")).status(), 200);
 }
+
+/// retune: after a SIGHUP that left discovery where it was, its news never came again: the call under way was cut
+/// short, and none took its place.
+#[test]
+fn at_sighup_the_watch_goes_on_where_discovery_stays() {
+    for mode in ["pushed", "on_request"] {
+        let discovery = Discovery::start();
+        let (first, second) = (Backend::start(|_| ok("first")), Backend::start(|_| ok("second")));
+        let name = format!("stays-{mode}");
+        let mut config = config(&name, &discovery);
+        config["settings"]["membershipMode"] = mode.into();
+        // The first call of all is still under way.
+        let members = [entry("s-1", first.address, "active", 0)];
+        config["known"] = serde_json::json!({"revision": 41, "complete": true, "members": members});
+        let mut proxy = Proxy::start_with(&name, config.clone());
+        assert_eq!(discovery.next_call(), Some(41), "{mode}");
+        // Once as it is, and once with other names for what is listed.
+        for kinds in [serde_json::json!(["m"]), serde_json::json!(["m", "n"])] {
+            config["settings"]["kinds"] = kinds;
+            write_config(&name, &config.to_string());
+            proxy.hang_up();
+            assert!(proxy.next_line("SIGHUP").contains("in force"));
+        }
+        assert_eq!(proxy.client().ask(&request("read", "1", "")).body, b"first", "{mode}");
+        discovery.post(true, &[entry("s-2", second.address, "active", 0)]);
+        assert_eq!(proxy.client().ask(&request("read", "2", "")).body, b"second", "{mode}");
+    }
+}
