Pass bodies over 64 KiB through, and wait for clients on slow lines

Causes weighed: the servers fail (ruled out: 4 errors, no resets); bodies over 64 KiB are refused with 413 and answers over it booked as errors, with their connection (clients.rs collect, backends.rs exchange: Limited); hyper's header timeout of 2.2 s runs from the end of the last answer, idle time included, and a body had 2.5 s whatever came of it (clients.rs HEAD_TIMEOUT, BODY_TIMEOUT). The last two held; the time of a request also counted from its head, where the protocol counts from its last byte.

Design: up to 64 KiB a body is held whole and repeatable, as before. A larger one passes through hyper's buffers of fixed size, at the pace of the slower side; how many are on their way is bounded by half of the memory limit, the kernel's buffers are bounded too. One that has begun to pass is spent and never sent again. While a body is on its way its request takes no slot and its time has not begun; an answer that passes through settles with its first byte, so that no slow client makes a server look slow. A client's body is given time by its bytes: it may pause, but has to keep 32 kB a second. Connections have a deadline for what they are at (idle, head, first request); idle ones close as they did.

--- a/src/api.rs
+++ b/src/api.rs
@@ -258,6 +258,9 @@
     pub work: Option<Micros>,
     /// Whether the client marked it as a repeat.
     pub repeat: bool,
+    /// Whether its body is still coming and passes through: it can be sent once, and its time counts from
+    /// [`Event::Uploaded`].
+    pub upload: bool,
 }
 
 /// How an attempt ended.
@@ -302,8 +305,10 @@
     pub outcome: Outcome,
     /// Whether the client has its final answer.
     pub closed: bool,
-    /// Time since the send.
+    /// Time since the send, or since [`Event::Uploaded`].
     pub elapsed: Micros,
+    /// Whether the request can't be sent again: its body has passed through.
+    pub spent: bool,
     /// The backend's load report, if one came along.
     pub report: &'a [f32],
 }
@@ -324,6 +329,8 @@
     },
     /// An attempt ended.
     Settled(Settled<'a>),
+    /// The last byte of a request's body has gone out.
+    Uploaded(RequestId),
     /// The client left; the request is over.
     ClientGone(RequestId),
     /// The operators take a backend out of use, or give it back.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -8,7 +8,7 @@
 
 use crate::api::{
     Action, Backend, BackendId, Class, ClassNumber, DedupGroup, Effect, Event, Membership, Micros, Outcome,
-    Readiness, Request, Settings, SettingsError, Settled, Tenant,
+    Readiness, Request, RequestId, Settings, SettingsError, Settled, Tenant,
 };
 use crate::state::{
     Attempt, AttemptState, Bucket, ColdBudget, CommonLimit, Latency, Open, PeakRate, Pool, Requests, Scope,
@@ -74,6 +74,8 @@
 const CHANCE_WAIT: f64 = 0.125;
 /// How long discovery has for each proxy, before it is asked again by all of them.
 const DISCOVERY_TURN: Micros = SECOND / 10;
+/// So many bodies that are on their way to a server count as a slot: they take seconds, the work far less.
+const UPLOADS_PER_SLOT: u32 = 4;
 /// Servers that a proxy spreads its requests over, at the least, where its limits add up to fewer slots.
 const MIN_SPREAD: f64 = 3.0;
 /// Part of a server's limit that requests beyond their tenant's share may fill.
@@ -97,6 +99,15 @@
     fn slots(&self, part: f64) -> i64 {
         (self.limit * part + self.dither).floor() as i64
     }
+
+    /// A request is in its hands.
+    fn take_slot(&mut self, now: Micros, spread: f64) {
+        if self.in_flight == 0 && !self.unanswered {
+            self.silent_since = now;
+        }
+        self.in_flight += 1;
+        self.window.filled |= i64::from(self.in_flight) * 4 >= self.slots(spread) * 3;
+    }
 }
 
 /// The decisions of one proxy.
@@ -175,6 +186,7 @@
                     self.open[slot].streaming = true;
                 }
             }
+            Event::Uploaded(request) => self.on_uploaded(now, request),
             Event::ClientGone(request) => {
                 if let Some(slot) = self.open.find(request) {
                     self.close(slot);
@@ -401,6 +413,8 @@
             over_share,
             answered: false,
             streaming: false,
+            upload: request.upload.then_some(request.patience),
+            spent: false,
             held_until: None,
             attempts: Vec::new(),
         };
@@ -412,6 +426,22 @@
         self.dispatch(now, slot, out);
     }
 
+    /// The body of a request has passed through whole: only now does its server begin it, and its time
+    /// counts. A client that takes seconds for its body holds no slot and makes no server look slow.
+    fn on_uploaded(&mut self, now: Micros, request: RequestId) {
+        let Some(slot) = self.open.find(request) else { return };
+        let open = &mut self.open[slot];
+        let Some(patience) = open.upload.take() else { return };
+        (open.arrived, open.deadline) = (now, now + patience);
+        for attempt in open.attempts.iter_mut().filter(|a| a.uploading) {
+            (attempt.uploading, attempt.sent_at) = (false, now);
+            let server = &mut self.servers[attempt.server];
+            server.uploads = server.uploads.saturating_sub(1);
+            server.take_slot(now, self.pool.spread);
+            self.in_flight += 1;
+        }
+    }
+
     /// Whether a tenant is beyond its share; a request within it takes a token. A proxy knows only its own
     /// part of the traffic, and that is more than one in `balancers` where others died: a tenant without a
     /// token is over its share only if it also asks for more of its allowance here than the tenants do on
@@ -515,7 +545,11 @@
     fn scope(&self, now: Micros, open: &Open) -> Scope {
         let permissions = &self.settings.permissions;
         let out = open.out();
-        if open.answered || open.streaming || open.attempts.len() >= usize::from(permissions.max_attempts) {
+        if open.answered
+            || open.streaming
+            || open.spent
+            || open.attempts.len() >= usize::from(permissions.max_attempts)
+        {
             return Scope::Nowhere;
         }
         if out > 0 && !permissions.second_copies {
@@ -625,7 +659,9 @@
             // divided among all proxies, and the few with a whole slot could not spend it.
             let slots = server.slots(part);
             let by_token = slots == 0 && server.cold.is_some() && !over_share;
-            let room = slots.max(i64::from(by_token)) - i64::from(server.in_flight);
+            // Bodies on their way take no slot yet, but each of them will.
+            let waiting = i64::from(server.uploads / UPLOADS_PER_SLOT);
+            let room = slots.max(i64::from(by_token)) - i64::from(server.in_flight) - waiting;
             let left = server.limit * part + server.dither;
             if self.in_flight == 0 && left > spare.map_or(0.0, |(most, _)| most) {
                 spare = Some((left, index));
@@ -652,7 +688,7 @@
         }
         // Departure: a server that owes answers and has been silent for long may hang: nothing more goes
         // there.
-        if server.in_flight > 0 && now > server.silent_since + overdue {
+        if server.in_flight > 0 && now > server.silent_since.saturating_add(overdue) {
             return false;
         }
         // Departure: a server that turns requests away answers at once and so looks the emptiest of all. It
@@ -681,7 +717,8 @@
     /// The only place where an attempt starts. `pick` has made sure that the server may have it.
     fn send(&mut self, now: Micros, slot: usize, index: usize, out: &mut Vec<Action>) {
         self.unhold(slot);
-        let rested = self.connection(now, index, out);
+        let upload = self.open[slot].upload.is_some();
+        let rested = if upload { 0 } else { self.connection(now, index, out) };
         let cold = self.servers[index].cold;
         let tokens = cold.map(|cold| self.cold_tokens(now, &self.servers[index], &cold));
         let server = &mut self.servers[index];
@@ -691,15 +728,16 @@
                 server.cold = None;
             }
         }
-        if server.in_flight == 0 && !server.unanswered {
-            server.silent_since = now;
-        }
         server.trial_out = server.ejected_until.is_some();
-        server.in_flight += 1;
-        self.in_flight += 1;
-        server.window.filled |= i64::from(server.in_flight) * 4 >= server.slots(self.pool.spread) * 3;
+        if upload {
+            server.uploads += 1;
+        } else {
+            server.take_slot(now, self.pool.spread);
+            self.in_flight += 1;
+        }
         let open = &mut self.open[slot];
-        open.attempts.push(Attempt { server: index, sent_at: now, rested, state: AttemptState::Out });
+        let (sent_at, state) = (now, AttemptState::Out);
+        open.attempts.push(Attempt { server: index, sent_at, uploading: upload, rested, state });
         out.push(Action::Send { request: open.id, backend: server.id, give_up_at: open.deadline });
     }
 
@@ -754,6 +792,7 @@
         }
         let never_ran = settled.outcome.never_ran();
         attempt.state = if never_ran { AttemptState::NeverRan } else { AttemptState::MayHaveRun };
+        open.spent |= settled.spent;
         let (attempt, class) = (*attempt, open.class);
         self.observe(now, class, attempt, &settled, out);
         if settled.closed || self.open[slot].answered {
@@ -786,8 +825,12 @@
         let kind = usize::from(server.kind);
         let latency = &mut self.latencies[class * kinds + kind];
         let elapsed = end.elapsed as f64;
-        server.in_flight = server.in_flight.saturating_sub(1);
-        self.in_flight = self.in_flight.saturating_sub(1);
+        if to.uploading {
+            server.uploads = server.uploads.saturating_sub(1);
+        } else {
+            server.in_flight = server.in_flight.saturating_sub(1);
+            self.in_flight = self.in_flight.saturating_sub(1);
+        }
         let silent = server.silent_since <= to.sent_at;
         server.unanswered = silent && end.outcome == Outcome::Timeout;
         if end.outcome == Outcome::Moot {
--- a/src/bin/haventrack-proxy.rs
+++ b/src/bin/haventrack-proxy.rs
@@ -4,6 +4,7 @@
 use haventrack::balancer::Balancer;
 use haventrack::proxy::admin::Operations;
 use haventrack::proxy::backends::Fleet;
+use haventrack::proxy::bodies::Transfers;
 use haventrack::proxy::clients::Clients;
 use haventrack::proxy::clock::Clock;
 use haventrack::proxy::config::{Config, Names};
@@ -97,11 +98,13 @@
     let asked = settings.discovery_on_request;
     let limits =
         Limits { max_attempts: settings.permissions.max_attempts, report_by_probe: settings.report_by_probe };
+    let transfers = Transfers::within(config.memory);
     let fleet = Fleet::new(
         config.backend_sockets,
         config.dial_timeout,
         settings.permissions.conn_idle,
         config.names.report.clone(),
+        transfers.clone(),
     );
     let balancer = Balancer::new(settings.clone(), config.seed, clock.now())?;
     let (subscribe, subscriptions) = mpsc::unbounded_channel();
@@ -121,8 +124,7 @@
         (address, Operations::new(drain, held, handle, Rc::clone(&numbers), Bans::shared()))
     });
     watcher.start_from(config.known.take());
-    let (names, most) = (&config.names, config.client_sockets);
-    let clients = Clients::new(handle.clone(), clock, &settings, names, held, Rc::clone(&drain), most);
+    let clients = Clients::new(handle.clone(), clock, &config, held, Rc::clone(&drain), transfers);
     let most = Held { clients: config.client_sockets, backends: config.backend_sockets };
     let (door, both) = (Rc::clone(&listener), (Rc::clone(&clients), Rc::clone(&fleet)));
     let company = Company::new(door, numbers, handle.clone(), both.0, both.1, most);
--- a/src/bin/haventrack-simhost.rs
+++ b/src/bin/haventrack-simhost.rs
@@ -130,7 +130,9 @@
                 }
                 Record::Settled { request, backend, attempt, outcome, closed, elapsed, ref report } => {
                     let elapsed = Micros::from(elapsed);
-                    let settled = Settled { request, backend, attempt, outcome, closed, elapsed, report };
+                    let spent = false;
+                    let settled =
+                        Settled { request, backend, attempt, outcome, closed, elapsed, spent, report };
                     self.step(who()?, at, |b, out| b.handle(now, Event::Settled(settled), out))?;
                 }
                 Record::Probed { backend, outcome, ref report } => {
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -1,44 +1,41 @@
 //! The clients' side: the listener, requests in, answers out.
 
 use super::backends::Call;
+use super::bodies::{Answered, Paced, Read, Transfers, Upload};
 use super::clock::Clock;
-use super::config::Names;
+use super::config::{Config, Names};
 use super::drain::{Drain, Phase};
 use super::driver::{Answer, Handle, Inbound, Message};
-use super::{BODY_CAP, log};
+use super::log;
+use super::pace::Pace;
+use super::socket::{Wire, WireIo};
 use crate::api::{ClassNumber, Effect, Micros, RequestId, Settings};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper_util::rt::TokioIo;
 use rustc_hash::{FxHashMap, FxHasher};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
 use std::hash::Hasher;
+use std::io;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
-
-/// How long a client may take to begin and finish a request's head; also how long it may stay idle.
-const HEAD_TIMEOUT: Duration = Duration::from_millis(2_200);
-/// How long after it connected a client must have sent its first request whole: anybody may connect, and who
-/// sends no proper request has to be rid of within three seconds.
-const FIRST_WITHIN: Duration = Duration::from_millis(2_700);
-/// The same for the body of a later request, from its head on.
-const BODY_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// How long a closing connection is read on, and how much of it, so that the kernel does not answer late
-/// bytes with a reset that destroys an answer on its way.
+use tokio::time::{Instant, sleep, timeout};
+
+/// How long a closing connection is read on after its last bytes, and in all, so that the kernel does not answer
+/// late ones with a reset that destroys an answer on its way.
 const LINGER: Duration = Duration::from_millis(500);
-const LINGER_BYTES: usize = 4 * BODY_CAP;
+const LINGER_MOST: Duration = Duration::from_secs(3);
 /// At the cap, one in this many connections is asked to close.
 const SHED_PART: usize = 8;
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
@@ -103,24 +100,70 @@
     /// Those that were asked and are not closed yet.
     shedding: Cell<usize>,
     accepted_at: Cell<Instant>,
+    transfers: Transfers,
 }
 
 /// A request that is answered here because the module can't be asked about it.
 struct Rejected(StatusCode, &'static str);
 
+impl Rejected {
+    fn response(self) -> Response<Answered> {
+        let Self(status, why) = self;
+        let mut response = plain(status, why);
+        if status == StatusCode::METHOD_NOT_ALLOWED {
+            response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, POST"));
+        }
+        if status == StatusCode::PAYLOAD_TOO_LARGE || status == StatusCode::REQUEST_TIMEOUT {
+            close(&mut response);
+        }
+        response
+    }
+}
+
+/// An answer on its way; once HTTP has taken the last of it, the next request may come.
+struct Sending {
+    body: Answered,
+    pace: Rc<Pace>,
+}
+
+impl Drop for Sending {
+    fn drop(&mut self) {
+        self.pace.answered();
+    }
+}
+
+impl Body for Sending {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 impl Clients {
-    /// No connections yet. `held` tells whether a list of backends is held, `most` how many connections may be
-    /// open at a time.
+    /// No connections yet. `held` tells whether a list of backends is held.
     #[must_use]
     pub fn new(
         handle: Handle,
         clock: Clock,
-        settings: &Settings,
-        names: &Names,
+        config: &Config,
         held: Rc<Cell<bool>>,
         drain: Rc<Drain>,
-        most: usize,
+        transfers: Transfers,
     ) -> Rc<Self> {
+        let (settings, names, most) = (&config.settings, &config.names, config.client_sockets);
         let numbers: Vec<_> = (0..settings.classes.len() as ClassNumber).collect();
         Rc::new(Self {
             handle,
@@ -135,6 +178,7 @@
             shed: Notify::new(),
             shedding: Cell::new(0),
             accepted_at: Cell::new(Instant::now()),
+            transfers,
         })
     }
 
@@ -205,17 +249,23 @@
     async fn connection(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let clients = Rc::clone(&self);
-        let first_until = Cell::new(Some(Instant::now() + FIRST_WITHIN));
+        let wire = Wire::new(stream);
+        let pace = Pace::new(Rc::clone(&wire));
+        let at = Rc::clone(&pace);
         let service = service_fn(move |request| -> Pin<Box<dyn Future<Output = _>>> {
-            let clients = Rc::clone(&clients);
-            let body_until = first_until.take().unwrap_or_else(|| Instant::now() + BODY_TIMEOUT);
-            Box::pin(async move { Ok::<_, Infallible>(clients.respond(request, body_until).await) })
+            let (clients, pace) = (Rc::clone(&clients), Rc::clone(&at));
+            Box::pin(async move {
+                let response = clients.respond(request, &pace).await;
+                if matches!(response.body(), Answered::Through(_)) {
+                    pace.bound();
+                }
+                Ok::<_, Infallible>(response.map(|body| Sending { body, pace }))
+            })
         });
         let mut conn = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
             .max_buf_size(HEAD_CAP)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(WireIo(wire)), service);
+        let mut late = pin!(sleep(Duration::ZERO));
         let mut phase = self.phase.clone();
         // A connection that comes while the others are being closed still gets its answer; that closes it.
         phase.mark_unchanged();
@@ -226,7 +276,18 @@
             tokio::select! {
                 biased;
                 // How it ended does not matter here: a client that left has been reported by its guard.
-                _ = std::future::poll_fn(|cx| conn.poll_without_shutdown(cx)) => break,
+                _ = std::future::poll_fn(|cx| {
+                    if let Poll::Ready(ended) = conn.poll_without_shutdown(cx) {
+                        return Poll::Ready(ended.is_ok());
+                    }
+                    // What it is at may have changed; a late one is not waited for.
+                    let away = *self.phase.borrow() == Phase::Closing;
+                    let Some(deadline) = pace.deadline(away) else { return Poll::Pending };
+                    if late.deadline() != deadline {
+                        late.as_mut().reset(deadline);
+                    }
+                    late.as_mut().poll(cx).map(|()| false)
+                }) => break,
                 Ok(()) = phase.changed(), if !told => {
                     if *phase.borrow_and_update() == Phase::Closing {
                         told = true;
@@ -246,23 +307,14 @@
         self.freed.notify_waiters();
     }
 
-    async fn respond(&self, request: Request<Incoming>, body_until: Instant) -> Response<Full<Bytes>> {
-        let arrived = self.clock.now();
+    async fn respond(&self, request: Request<Incoming>, pace: &Pace) -> Response<Answered> {
+        let body_within = pace.request();
         let mut response = if request.uri().path() == "/up" {
             self.up()
         } else {
-            match self.inbound(request, arrived, body_until).await {
+            match self.inbound(request, body_within).await {
                 Ok(inbound) => self.ask(inbound).await,
-                Err(Rejected(status, why)) => {
-                    let mut response = plain(status, why);
-                    if status == StatusCode::METHOD_NOT_ALLOWED {
-                        response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, POST"));
-                    }
-                    if status == StatusCode::PAYLOAD_TOO_LARGE || status == StatusCode::REQUEST_TIMEOUT {
-                        close(&mut response);
-                    }
-                    response
-                }
+                Err(rejected) => rejected.response(),
             }
         };
         // Close to the cap, connections are given back after each answer.
@@ -272,7 +324,7 @@
         response
     }
 
-    fn up(&self) -> Response<Full<Bytes>> {
+    fn up(&self) -> Response<Answered> {
         if self.held.get() && self.drain.is_up() {
             plain(StatusCode::OK, "up\n")
         } else {
@@ -280,15 +332,20 @@
         }
     }
 
-    async fn ask(&self, inbound: Inbound) -> Response<Full<Bytes>> {
+    async fn ask(&self, inbound: Inbound) -> Response<Answered> {
+        let upload = inbound.call.upload.clone();
         let (sender, answer) = oneshot::channel();
         let guard = Guard { handle: &self.handle, request: inbound.request.id, answered: false };
         self.handle.tell(Message::Request(Box::new(inbound), sender));
         let answer = answer.await;
         guard.answered();
+        if let Some(fault) = upload.and_then(|upload| upload.fault()) {
+            let (status, why) = fault.status();
+            return Rejected(status, why).response();
+        }
         match answer {
             Ok(Answer::Served(served)) => {
-                let mut response = Response::new(Full::new(served.body));
+                let mut response = Response::new(served.body);
                 if let Some(content_type) = served.content_type {
                     response.headers_mut().insert(header::CONTENT_TYPE, content_type);
                 }
@@ -299,12 +356,7 @@
         }
     }
 
-    async fn inbound(
-        &self,
-        request: Request<Incoming>,
-        arrived: Micros,
-        body_until: Instant,
-    ) -> Result<Inbound, Rejected> {
+    async fn inbound(&self, request: Request<Incoming>, body_within: Duration) -> Result<Inbound, Rejected> {
         let (head, body) = request.into_parts();
         let bad = |why| Rejected(StatusCode::BAD_REQUEST, why);
         let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
@@ -331,7 +383,7 @@
         let time_left = text(TIME_LEFT).and_then(|v| v.trim().parse::<u64>().ok());
         let time_left = time_left.filter(|&ms| ms <= MOST_TIME_LEFT_MS);
         let patience = time_left.ok_or(bad("X-Time-Left-Ms is missing or makes no sense\n"))? * 1_000;
-        let request = crate::api::Request {
+        let mut request = crate::api::Request {
             id: self.handle.number(),
             class: facts.number,
             tenant,
@@ -339,10 +391,25 @@
             patience: patience.min(facts.deadline),
             work: text(WEIGHT_HINT).and_then(|v| v.trim().parse().ok()),
             repeat: text(REPEAT) == Some("1"),
+            upload: false,
         };
-        let body = collect(body, body_until).await?;
-        let call = Call { method: head.method, target: head.uri, headers: forwarded(head.headers), body };
-        Ok(Inbound { request, arrived, call })
+        let read = Paced::new(body, body_within).read().await;
+        let read = read.map_err(|fault| {
+            let (status, why) = fault.status();
+            Rejected(status, why)
+        })?;
+        let (body, upload) = match read {
+            Read::Whole(body) => (body, None),
+            Read::Large(begun, rest) => {
+                let permit = self.transfers.up().await;
+                (Bytes::new(), Some(Upload::new(request.id, self.handle.clone(), begun, rest, permit)))
+            }
+        };
+        request.upload = upload.is_some();
+        let (method, target, headers) = (head.method, origin_form(head.uri), forwarded(head.headers));
+        let call = Call { method, target, headers, body, upload };
+        // The time of a request counts from its last byte.
+        Ok(Inbound { request, arrived: self.clock.now(), call })
     }
 }
 
@@ -368,19 +435,6 @@
     }
 }
 
-async fn collect(body: Incoming, until: Instant) -> Result<Bytes, Rejected> {
-    let collected = timeout_at(until, Limited::new(body, BODY_CAP).collect()).await;
-    let collected = collected.map_err(|_| Rejected(StatusCode::REQUEST_TIMEOUT, "the body is late\n"))?;
-    let collected = collected.map_err(|error| {
-        if error.is::<LengthLimitError>() {
-            Rejected(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n")
-        } else {
-            Rejected(StatusCode::BAD_REQUEST, "the body is broken\n")
-        }
-    })?;
-    Ok(collected.to_bytes())
-}
-
 /// The headers that go on: all but those that speak of this one connection or of the message's framing.
 fn forwarded(mut headers: HeaderMap) -> HeaderMap {
     let named = headers.get_all(header::CONNECTION).iter().filter_map(|v| v.to_str().ok());
@@ -418,14 +472,20 @@
     })
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+/// Path and query: what a backend is asked for, also where the client named the host in its first line.
+fn origin_form(target: Uri) -> Uri {
+    let path = target.path_and_query().cloned();
+    path.map_or(target, Uri::from)
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response<Answered> {
+    let mut response = Response::new(Answered::from(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     response
 }
 
-fn refusal(retry_after: Micros) -> Response<Full<Bytes>> {
+fn refusal(retry_after: Micros) -> Response<Answered> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "no room\n");
     if retry_after > 0
         && let Ok(seconds) = HeaderValue::try_from(format!("{:.3}", retry_after as f64 / 1e6))
@@ -435,23 +495,18 @@
     response
 }
 
-fn close(response: &mut Response<Full<Bytes>>) {
+fn close(response: &mut Response<Answered>) {
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
 }
 
 /// Ends the sending side and reads what still comes, for a while.
-async fn linger(mut stream: TcpStream) {
+async fn linger(mut stream: WireIo) {
     if stream.shutdown().await.is_err() {
         return;
     }
-    let _ = timeout(LINGER, async {
-        let (mut buffer, mut read) = ([0; 2_048], 0);
-        while read < LINGER_BYTES {
-            match stream.read(&mut buffer).await {
-                Ok(0) | Err(_) => return,
-                Ok(n) => read += n,
-            }
-        }
+    let _ = timeout(LINGER_MOST, async {
+        let mut buffer = [0; 2_048];
+        while let Ok(Ok(1..)) = timeout(LINGER, stream.read(&mut buffer)).await {}
     })
     .await;
 }
--- a/src/proxy/clock.rs
+++ b/src/proxy/clock.rs
@@ -27,6 +27,12 @@
         self.unix + micros(self.origin.elapsed())
     }
 
+    /// A point of the runtime's clock on this one.
+    #[must_use]
+    pub fn at(&self, instant: Instant) -> Micros {
+        self.unix + micros(instant.saturating_duration_since(self.origin))
+    }
+
     /// A point of this clock as the runtime's timers want it.
     #[must_use]
     pub fn instant(&self, at: Micros) -> Instant {
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -11,6 +11,7 @@
 /// Descriptors that are neither clients nor backends: standard streams, the runtime, the listener, discovery.
 const RESERVED_SOCKETS: usize = 24;
 const DEFAULT_SOCKETS: usize = 1_024;
+const DEFAULT_MEMORY_MB: usize = 64;
 const DEFAULT_DIAL: Micros = 250_000;
 
 /// Why the proxy can't start.
@@ -83,6 +84,8 @@
     pub client_sockets: usize,
     /// Backend connections that may be open at a time, idle ones too.
     pub backend_sockets: usize,
+    /// How much memory the process may take, in bytes.
+    pub memory: usize,
     /// The keys that another file has to have as well, with their values.
     keys: Value,
 }
@@ -110,6 +113,8 @@
 struct RawLimits {
     #[serde(default)]
     sockets: Option<usize>,
+    #[serde(default)]
+    memory_mb: Option<usize>,
 }
 
 #[derive(Deserialize)]
@@ -214,6 +219,7 @@
             dial_timeout: more.permissions.dial_timeout_us.filter(|&t| t > 0).unwrap_or(DEFAULT_DIAL),
             client_sockets,
             backend_sockets: sockets - RESERVED_SOCKETS - client_sockets,
+            memory: raw.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) << 20,
             keys,
         })
     }
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -69,6 +69,8 @@
     Request(Box<Inbound>, oneshot::Sender<Answer>),
     /// Its client has left.
     ClientGone(RequestId),
+    /// The last byte of its body has gone out.
+    Uploaded(RequestId),
     /// An attempt ended.
     Ended(RequestId, u16, Ended),
     /// A probe ended.
@@ -114,6 +116,8 @@
 
 struct Open {
     call: Rc<Call>,
+    /// How long the client waits.
+    patience: Micros,
     /// `None` once the client has its final answer or has left.
     client: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
@@ -251,6 +255,7 @@
                     self.forget(request);
                 }
             }
+            Message::Uploaded(request) => self.on_uploaded(now, request),
             Message::Ended(request, attempt, ended) => {
                 self.pending.push_back(Pending::Settled { request, attempt, ended });
                 self.settle(now);
@@ -284,12 +289,25 @@
         // A client with hardly any time at all is not robbed of what it has.
         request.patience = left.saturating_sub(ANSWER_MARGIN.min(left / 2));
         let last = now + left.saturating_sub(LAST_MARGIN.min(left / 4));
-        let open = Open { call: Rc::new(call), client: Some(client), attempts: Vec::new() };
+        let patience = request.patience;
+        let open = Open { call: Rc::new(call), patience, client: Some(client), attempts: Vec::new() };
         self.open.insert(request.id, open);
-        self.timers.push(Reverse((last, Due::LastMoment(request.id))));
+        // While its body is coming, its time has not begun.
+        if !request.upload {
+            self.timers.push(Reverse((last, Due::LastMoment(request.id))));
+        }
         self.feed(now, Event::Request(request));
     }
 
+    /// A body has passed through: the time of its request counts from now.
+    fn on_uploaded(&mut self, now: Micros, request: RequestId) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        open.attempts.iter_mut().filter(|a| a.cancel.is_some()).for_each(|a| a.sent_at = now);
+        let last = now + open.patience;
+        self.timers.push(Reverse((last, Due::LastMoment(request))));
+        self.feed(now, Event::Uploaded(request));
+    }
+
     fn on_list(&mut self, now: Micros, scope: Scope, entries: &[Listed]) {
         // The sockets learn of it first, so that an attempt which this very list starts finds its backend.
         if matches!(scope, Scope::Full | Scope::Cached) {
@@ -336,7 +354,8 @@
         if attempt.cancel.take().is_none() {
             return;
         }
-        let (backend, elapsed) = (attempt.backend, now.saturating_sub(attempt.sent_at));
+        let answered = ended.first_byte.map_or(now, |at| self.clock.at(at));
+        let (backend, elapsed) = (attempt.backend, answered.saturating_sub(attempt.sent_at));
         // The first answer of a backend reaches the client without being asked for, as on the simulator.
         if let Some(served) = ended.served
             && let Some(client) = open.client.take()
@@ -344,8 +363,9 @@
             let _ = client.send(Answer::Served(served));
         }
         let closed = open.client.is_none();
+        let spent = open.call.upload.as_ref().is_some_and(|upload| upload.is_spent());
         let (outcome, report) = (ended.outcome, ended.report.as_slice());
-        let settled = Settled { request, backend, attempt: number, outcome, closed, elapsed, report };
+        let settled = Settled { request, backend, attempt: number, outcome, closed, elapsed, spent, report };
         self.balancer.handle(now, Event::Settled(settled), &mut self.actions);
         self.act(now);
         self.forget(request);
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admin;
 pub mod backends;
+pub mod bodies;
 pub mod clients;
 pub mod clock;
 pub mod config;
@@ -10,8 +11,10 @@
 pub mod drain;
 pub mod driver;
 pub mod handover;
+pub mod pace;
+pub mod socket;
 
-/// The largest body of a request or an answer.
+/// The largest body of a request or an answer that is held whole.
 pub const BODY_CAP: usize = 64 * 1024;
 
 /// A line for the operators. Unlike `eprintln!` it does not panic when nobody reads standard error.
--- /dev/null
+++ b/src/proxy/pace.rs
@@ -0,0 +1,87 @@
+//! How long a client's connection may take for what it is at.
+
+use super::socket::Wire;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How long a connection may stay idle.
+const IDLE: Duration = Duration::from_millis(2_200);
+/// The same while clients are sent away: who has come all the same is to say so soon.
+const IDLE_AWAY: Duration = Duration::from_millis(700);
+/// How long a request's head may take from its first byte on. An honest client on a bad line takes two seconds.
+const HEAD: Duration = Duration::from_millis(2_600);
+/// How long after it connected a client must have sent its first head, and how long the bytes of a body may stay
+/// away: anybody may connect, and who sends no proper request has to be rid of within three seconds.
+const FIRST: Duration = Duration::from_millis(2_750);
+const BODY: Duration = Duration::from_millis(2_500);
+/// The least time for a body after a head that came late.
+const BODY_LEAST: Duration = Duration::from_millis(300);
+/// How long a client may take nothing of its answer.
+const STALLED: Duration = Duration::from_secs(20);
+
+#[derive(Clone, Copy)]
+enum At {
+    /// Between requests, since then; what had been read by then.
+    Idle(Instant, u64),
+    /// A head is coming.
+    Head(Instant),
+    /// A request is in this proxy's hands.
+    Request,
+}
+
+/// What a connection is at.
+pub struct Pace {
+    wire: Rc<Wire>,
+    connected: Instant,
+    first: Cell<bool>,
+    at: Cell<At>,
+}
+
+impl Pace {
+    /// A connection that has just come up.
+    #[must_use]
+    pub fn new(wire: Rc<Wire>) -> Rc<Self> {
+        let now = Instant::now();
+        Rc::new(Self { wire, connected: now, first: Cell::new(true), at: Cell::new(At::Idle(now, 0)) })
+    }
+
+    /// A request's head has come. Gives the time that its body may take to begin.
+    pub fn request(&self) -> Duration {
+        self.at.set(At::Request);
+        if self.first.replace(false) {
+            return FIRST.saturating_sub(self.connected.elapsed()).max(BODY_LEAST);
+        }
+        BODY
+    }
+
+    /// The answer is on its way, and the next request may come.
+    pub fn answered(&self) {
+        self.at.set(At::Idle(Instant::now(), self.wire.read()));
+    }
+
+    /// A large answer goes through the connection.
+    pub fn bound(&self) {
+        self.wire.bound();
+    }
+
+    /// When the connection has taken too long for what it is at; `away`: clients are sent away.
+    #[must_use]
+    pub fn deadline(&self, away: bool) -> Option<Instant> {
+        if let At::Idle(_, read) = self.at.get()
+            && self.wire.read() > read
+        {
+            self.at.set(At::Head(Instant::now()));
+        }
+        if let Some(since) = self.wire.blocked_since() {
+            return Some(since + STALLED);
+        }
+        match self.at.get() {
+            At::Idle(since, _) => Some(since + if away { IDLE_AWAY } else { IDLE }),
+            At::Head(_) if self.first.get() => Some(self.connected + FIRST),
+            At::Head(since) => Some(since + HEAD),
+            At::Request => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/proxy/socket.rs
@@ -0,0 +1,143 @@
+//! A connection's socket as HTTP drives it, with counts of what went through.
+
+use std::cell::Cell;
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// What the kernel may hold of a body that passes through, on either side. Left to itself it buffers megabytes for
+/// each connection, and all of them count as this proxy's memory.
+const KERNEL_BUFFER: usize = 64 * 1024;
+
+/// A socket, with a count of the bytes that it took and gave.
+pub struct Wire {
+    stream: TcpStream,
+    written: Cell<u64>,
+    read: Cell<u64>,
+    /// Since when the peer takes nothing more; `None`: it does.
+    blocked_since: Cell<Option<Instant>>,
+}
+
+impl Wire {
+    /// A socket that nothing went through.
+    #[must_use]
+    pub fn new(stream: TcpStream) -> Rc<Self> {
+        Rc::new(Self { stream, written: Cell::new(0), read: Cell::new(0), blocked_since: Cell::new(None) })
+    }
+
+    /// Bytes that it took.
+    #[must_use]
+    pub fn written(&self) -> u64 {
+        self.written.get()
+    }
+
+    /// Bytes that it gave.
+    #[must_use]
+    pub fn read(&self) -> u64 {
+        self.read.get()
+    }
+
+    /// Since when the peer takes nothing more.
+    #[must_use]
+    pub fn blocked_since(&self) -> Option<Instant> {
+        self.blocked_since.get()
+    }
+
+    /// A large body goes through: what the kernel holds of it is bounded.
+    pub fn bound(&self) {
+        let socket = socket2::SockRef::from(&self.stream);
+        // Where the options are refused the body passes all the same.
+        let _ = socket.set_send_buffer_size(KERNEL_BUFFER);
+        let _ = socket.set_recv_buffer_size(KERNEL_BUFFER);
+    }
+
+    /// Whether nothing has come in since the last answer: neither the peer's goodbye nor stray bytes. The runtime
+    /// may not have seen yet what the kernel knows already, so the socket itself is asked.
+    #[must_use]
+    pub fn is_quiet(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
+        peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    fn wrote(&self, bytes: usize) {
+        self.written.set(self.written.get() + bytes as u64);
+        self.blocked_since.set(None);
+    }
+}
+
+/// The half of a [`Wire`] that the HTTP side drives.
+pub struct WireIo(pub Rc<Wire>);
+
+impl AsyncRead for WireIo {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.stream.poll_read_ready(cx))?;
+            match self.0.stream.try_read(buf.initialize_unfilled()) {
+                Ok(read) => {
+                    self.0.read.set(self.0.read.get() + read as u64);
+                    buf.advance(read);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+}
+
+impl WireIo {
+    fn poll_with(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            let Poll::Ready(ready) = self.0.stream.poll_write_ready(cx) else {
+                let since = self.0.blocked_since.get().unwrap_or_else(Instant::now);
+                self.0.blocked_since.set(Some(since));
+                return Poll::Pending;
+            };
+            ready?;
+            match write(&self.0.stream) {
+                Ok(written) => {
+                    self.0.wrote(written);
+                    return Poll::Ready(Ok(written));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for WireIo {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_with(cx, |stream| stream.try_write(buf))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_with(cx, |stream| stream.try_write_vectored(bufs))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(socket2::SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -37,6 +37,8 @@
     /// It was given back and has served nothing since.
     pub(crate) returning: bool,
     pub(crate) in_flight: u32,
+    /// Requests whose bodies are still on their way there: it has not begun them.
+    pub(crate) uploads: u32,
     pub(crate) limit: f64,
     pub(crate) dither: f64,
     /// The limit is its kind's; its own windows have not been judged.
@@ -72,6 +74,8 @@
 pub(crate) struct Attempt {
     pub(crate) server: usize,
     pub(crate) sent_at: Micros,
+    /// Its body is still on its way: it takes no slot yet.
+    pub(crate) uploading: bool,
     /// How long its connection had rested.
     pub(crate) rested: Micros,
     pub(crate) state: AttemptState,
@@ -87,6 +91,10 @@
     /// The client has its final answer, or left.
     pub(crate) answered: bool,
     pub(crate) streaming: bool,
+    /// Its body is still coming; with the time that the client has from its last byte on.
+    pub(crate) upload: Option<Micros>,
+    /// Its body has passed through and can't be sent again.
+    pub(crate) spent: bool,
     pub(crate) held_until: Option<Micros>,
     pub(crate) attempts: Vec<Attempt>,
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -108,6 +108,7 @@
             patience: Micros::from(patience),
             work: work.map(Micros::from),
             repeat,
+            upload: false,
         })
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -58,6 +58,7 @@
             outcome,
             closed: false,
             elapsed: 5,
+            spent: false,
             report: &[1.0],
         })
     };
@@ -462,3 +463,35 @@
     proxy.event(Event::Settings(&more));
     assert_eq!(second_of_requests(&mut proxy, 2_000).values().sum::<usize>(), 100);
 }
+
+/// bulk+slow+pieces: a client that takes seconds for its body is no slow server's.
+#[test]
+fn a_body_on_its_way_takes_no_slot_and_its_time_counts_from_its_last_byte() {
+    let upload = |id| Request { upload: true, ..request(id, 1) };
+    let mut proxy = Proxy::new(settings(), [backend(0)]);
+    second_of_requests(&mut proxy, 0);
+    assert_eq!(sent_to(&proxy.request(upload(500))), Some(0));
+    // The others find the server as they left it while the body takes longer than a client waits.
+    proxy.hold_open(500, 10 * SECOND);
+    for round in 1..=4 {
+        assert_eq!(second_of_requests(&mut proxy, round * 1_000).get(&0), Some(&100), "second {round}");
+    }
+    proxy.uploaded(500);
+    proxy.advance(SECOND);
+    let actions = proxy.settle(500, 0, Outcome::Ok);
+    assert!(!refused(&actions) && !failed(&actions));
+}
+
+#[test]
+fn a_body_that_has_passed_through_is_not_sent_again() {
+    for (outcome, harmless) in
+        [(Outcome::ConnectFailed, true), (Outcome::Full, true), (Outcome::Reset, false)]
+    {
+        let mut proxy = Proxy::new(settings(), (0..4).map(backend));
+        let first = sent_to(&proxy.request(Request { upload: true, ..request(1, 1) }));
+        assert!(first.is_some());
+        let actions = proxy.settle_spent(1, 0, outcome);
+        assert_eq!(sent_to(&actions), None, "{outcome:?}");
+        assert_eq!((refused(&actions), failed(&actions)), (harmless, !harmless), "{outcome:?}");
+    }
+}
