Hand what the module has learnt to the process that replaces this one

Causes weighed: connections lost at the door (ruled out: none ended there); bans or lists unknown to the new process (ruled out: its ready servers in the logged refusals are the old one's); a module that begins with its first limits and with aims for latencies, and judges cold servers by rates it has not seen yet (left; Balancer::new).

Design: the line that goes with the listener also carries limits, latencies by the class's name and the best rates; the new module takes what makes sense, within its bounds, before any list.

--- a/src/api.rs
+++ b/src/api.rs
@@ -1,6 +1,7 @@
 //! The interface of the decision module: what it is told ([`Settings`], [`Event`]) and what it answers
 //! ([`Action`]). Nothing here does I/O or reads a clock; times come in with each call.
 
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// A point in time or a span, in microseconds.
@@ -147,6 +148,28 @@
     pub safety: Safety,
 }
 
+/// What an instance has learnt of a kind of machine, for one that takes its place.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LearntKind {
+    /// What a server of the kind takes from all proxies together.
+    pub limit: f64,
+    /// Whether that was still doubling.
+    pub growing: bool,
+    /// Requests served a second by all servers of the kind, at the best.
+    pub served: f64,
+}
+
+/// What an instance has learnt, for one that takes its place.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Learnt {
+    /// Of each kind of machine.
+    pub kinds: Vec<LearntKind>,
+    /// The limit of each server.
+    pub limits: Vec<(BackendId, f64)>,
+    /// Mean latencies in microseconds: the class's name, then one for each kind.
+    pub latencies: Vec<(String, Vec<f64>)>,
+}
+
 /// A setting that makes no sense.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsError {
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -7,8 +7,8 @@
 //! nothing after it), `ready` (drains) and `ColdBudget` (cold servers).
 
 use crate::api::{
-    Action, Backend, BackendId, Class, ClassNumber, DedupGroup, Effect, Event, Membership, Micros, Outcome,
-    Readiness, Request, RequestId, Settings, SettingsError, Settled, Tenant,
+    Action, Backend, BackendId, Class, ClassNumber, DedupGroup, Effect, Event, Learnt, LearntKind,
+    Membership, Micros, Outcome, Readiness, Request, RequestId, Settings, SettingsError, Settled, Tenant,
 };
 use crate::state::{
     Attempt, AttemptState, Bucket, ColdBudget, CommonLimit, Latency, Open, PeakRate, Pool, Requests, Scope,
@@ -137,6 +137,8 @@
     subscribe_failures: u32,
     /// The processes that serve in this proxy's place: to the rules they are one proxy.
     processes: u32,
+    /// The limits that another process had, for servers that are not listed yet.
+    recalled: FxHashMap<BackendId, f64>,
 }
 
 impl Balancer {
@@ -171,6 +173,7 @@
             pool: Pool { slots: 0.0, spread: 1.0, most: u32::MAX, judged_at: None },
             subscribe_failures: 0,
             processes: 1,
+            recalled: FxHashMap::default(),
             settings,
         })
     }
@@ -200,6 +203,46 @@
         }
     }
 
+    // ---- From one process to the next ----
+
+    /// What another process in this one's place would have to learn anew.
+    #[must_use]
+    pub fn learnt(&self) -> Learnt {
+        let kind = |k: &CommonLimit| LearntKind { limit: k.limit, growing: k.growing, served: k.served.peak };
+        let kinds = self.kinds.len();
+        let mean = |class: &ClassNumber| {
+            let class = *class as usize;
+            let latencies = self.latencies[class * kinds..(class + 1) * kinds].iter().map(|l| l.mean);
+            (self.settings.classes[class].name.clone(), latencies.collect())
+        };
+        Learnt {
+            kinds: self.kinds.iter().map(kind).collect(),
+            limits: self.servers.iter().filter(|s| !s.probing).map(|s| (s.id, s.limit)).collect(),
+            latencies: self.in_use.iter().map(mean).collect(),
+        }
+    }
+
+    /// Goes on from what another process has learnt, before any server is listed. Figures that make no sense
+    /// are passed over; limits keep their bounds.
+    pub fn recall(&mut self, learnt: &Learnt) {
+        let sound = |figure: f64| figure.is_finite() && figure > 0.0;
+        for (common, told) in self.kinds.iter_mut().zip(&learnt.kinds).filter(|(_, k)| sound(k.limit)) {
+            common.limit = told.limit.clamp(MIN_LIMIT, MAX_LIMIT);
+            common.growing = told.growing;
+            common.served.peak = if sound(told.served) { told.served } else { 0.0 };
+        }
+        let kinds = self.kinds.len();
+        for (class, latencies) in self.settings.classes.iter().zip(self.latencies.chunks_mut(kinds)) {
+            let Some((_, told)) = learnt.latencies.iter().find(|(name, _)| *name == class.name) else {
+                continue;
+            };
+            for (latency, &mean) in latencies.iter_mut().zip(told).filter(|(_, mean)| sound(**mean)) {
+                *latency = Latency { count: 1, mean };
+            }
+        }
+        self.recalled = learnt.limits.iter().copied().filter(|(_, limit)| sound(*limit)).collect();
+    }
+
     // ---- Settings ----
 
     /// The numbers of the classes in force, in the order of the settings.
@@ -357,8 +400,15 @@
                     ..Server::default()
                 });
                 self.index.insert(entry.id, self.servers.len() - 1);
-                self.restarted(now, self.servers.len() - 1);
-                self.servers.len() - 1
+                let index = self.servers.len() - 1;
+                self.restarted(now, index);
+                if let Some(limit) = self.recalled.remove(&entry.id) {
+                    let share = self.share(&self.servers[index]);
+                    let server = &mut self.servers[index];
+                    server.limit = limit.clamp(MIN_LIMIT * share, MAX_LIMIT * share);
+                    server.probing = false;
+                }
+                index
             }
         };
         let server = &mut self.servers[index];
--- a/src/bin/haventrack-proxy.rs
+++ b/src/bin/haventrack-proxy.rs
@@ -106,12 +106,13 @@
         config.names.report.clone(),
         transfers.clone(),
     );
-    let balancer = Balancer::new(settings.clone(), config.seed, clock.now())?;
+    let mut balancer = Balancer::new(settings.clone(), config.seed, clock.now())?;
+    predecessor.iter().for_each(|p| balancer.recall(&p.legacy.learnt));
     let (subscribe, subscriptions) = mpsc::unbounded_channel();
     let (driver, handle) = Driver::new(balancer, clock, Rc::clone(&fleet), limits, subscribe);
     let held = Rc::new(Cell::new(false));
     let numbers = Rc::new(RefCell::new(Numbers::default()));
-    let listed = predecessor.iter().flat_map(|p| &p.names);
+    let listed = predecessor.iter().flat_map(|p| &p.legacy.names);
     listed.for_each(|name| _ = numbers.borrow_mut().number(name));
     let translator = Translator::new(clock, &config.names, Rc::clone(&numbers));
     let subscriptions = asked.then_some(subscriptions);
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -6,7 +6,7 @@
 use super::discovery::Listed;
 use super::log;
 use crate::api::{
-    Action, Backend, BackendId, ClassNumber, Event, Membership, Micros, Outcome, Request, RequestId,
+    Action, Backend, BackendId, ClassNumber, Event, Learnt, Membership, Micros, Outcome, Request, RequestId,
     Settings, Settled,
 };
 use crate::balancer::Balancer;
@@ -81,6 +81,8 @@
     Maintenance(BackendId, bool, Option<oneshot::Sender<()>>),
     /// Other settings are in force; the numbers of their classes are sent back.
     Settings(Box<Settings>, oneshot::Sender<Vec<ClassNumber>>),
+    /// What was learnt is asked for, for another process.
+    Learnt(oneshot::Sender<Learnt>),
     /// How many processes serve in this proxy's place, this one among them.
     Company(u32),
 }
@@ -271,6 +273,7 @@
                 self.feed(now, Event::Settings(&settings));
                 let _ = numbers.send(self.balancer.classes().to_vec());
             }
+            Message::Learnt(asked) => _ = asked.send(self.balancer.learnt()),
             Message::Company(processes) => self.feed(now, Event::Company { processes }),
             Message::Maintenance(backend, out, done) => {
                 self.fleet.ban(backend, out);
--- a/src/proxy/handover.rs
+++ b/src/proxy/handover.rs
@@ -14,14 +14,16 @@
 use super::discovery::Numbers;
 use super::driver::{Handle, Message};
 use super::log;
+use crate::api::Learnt;
 use rustc_hash::FxHashMap;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg, sockopt::socket_acceptconn,
 };
+use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
-use std::io::{BufRead, BufReader, IoSlice, IoSliceMut};
+use std::io::{BufRead, BufReader, IoSlice, IoSliceMut, Read};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
@@ -32,6 +34,7 @@
 use std::{env, fs, io};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, UnixListener, UnixStream};
+use tokio::sync::oneshot;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 /// The socket in `$TMPDIR` at which a process waits for the one that replaces it.
@@ -39,6 +42,8 @@
 /// How long the running process may take to hand over. One that hangs is not waited for: the new process then
 /// listens by itself at the same address.
 const HAND_OVER_WITHIN: Duration = Duration::from_millis(1_000);
+/// The most that a process hands on beside the listener.
+const LEGACY_CAP: u64 = 4 << 20;
 /// How often two processes tell one another what they hold.
 const TELL_EVERY: Duration = Duration::from_millis(50);
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(100);
@@ -134,10 +139,20 @@
     String::from_utf8(bytes?).ok()
 }
 
-/// The process that this one replaces.
-pub struct Predecessor {
+/// What a process hands on beside the listener.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub struct Legacy {
     /// The names of all backends that were ever listed.
     pub names: Vec<String>,
+    /// What its module has learnt.
+    #[serde(default)]
+    pub learnt: Learnt,
+}
+
+/// The process that this one replaces.
+pub struct Predecessor {
+    /// What it has handed on.
+    pub legacy: Legacy,
     link: StdUnixStream,
 }
 
@@ -174,9 +189,9 @@
     }
     socket.set_nonblocking(true)?;
     let mut line = String::new();
-    BufReader::new(&link).read_line(&mut line)?;
-    let names = serde_json::from_str(&line)?;
-    Ok((TcpListener::from_std(socket.into())?, Predecessor { names, link }))
+    BufReader::new((&link).take(LEGACY_CAP)).read_line(&mut line)?;
+    let legacy = serde_json::from_str(&line)?;
+    Ok((TcpListener::from_std(socket.into())?, Predecessor { legacy, link }))
 }
 
 /// Descriptors that a process holds, or may hold.
@@ -319,8 +334,13 @@
             sent.map_err(io::Error::from)
         };
         stream.async_io(Interest::WRITABLE, send).await?;
-        let names = serde_json::to_string(&self.numbers.borrow().names())? + "\n";
-        let mut rest = names.as_bytes();
+        let (asked, learnt) = oneshot::channel();
+        self.handle.tell(Message::Learnt(asked));
+        // A driver that has ended leaves nothing to hand on.
+        let learnt = learnt.await.unwrap_or_default();
+        let names = self.numbers.borrow().names().into_iter().map(str::to_owned).collect();
+        let line = serde_json::to_string(&Legacy { names, learnt })? + "\n";
+        let mut rest = line.as_bytes();
         while !rest.is_empty() {
             stream.writable().await?;
             match stream.try_write(rest) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -495,3 +495,43 @@
         assert_eq!((refused(&actions), failed(&actions)), (harmless, !harmless), "{outcome:?}");
     }
 }
+
+/// upgrade+hand: for a second after each upgrade the new process refused what the old one would have taken.
+#[test]
+fn a_process_goes_on_from_what_the_one_before_has_learnt() {
+    let two_kinds = Settings { kinds: 2, ..settings() };
+    let listed = || [0, 2, 4].map(|id| Backend { kind: (id / 4) as u8, ..backend(id) });
+    let mut old = Proxy::new(two_kinds.clone(), listed());
+    let mut id = 0;
+    for _ in 0..4 {
+        for _ in 0..200 {
+            (0..3).for_each(|_| {
+                id += 1;
+                old.request(request(id, 0));
+            });
+            old.advance(5 * MS);
+            old.serve(|server| if server == 2 { 400 * MS } else { 30 * MS });
+        }
+    }
+    let learnt = old.balancer.learnt();
+    let room = |learnt: Option<&Learnt>| {
+        let mut new = Proxy::new(two_kinds.clone(), []);
+        learnt.into_iter().for_each(|learnt| new.balancer.recall(learnt));
+        new.list(Membership::Full(&listed()));
+        (0..100).for_each(|id| _ = new.request(request(id, 0)));
+        [0, 2, 4].map(|server| new.in_flight(server))
+    };
+    let (fresh, taught) = (room(None), room(Some(&learnt)));
+    assert!(taught[0] > fresh[0] * 2, "what the old one sent a quick server: {taught:?}, {fresh:?}");
+    assert!(taught[1] < taught[0], "and a slow one: {taught:?}");
+    assert_eq!(serde_json::from_value::<Learnt>(serde_json::json!(learnt)).expect("it reads"), learnt);
+    // Nonsense teaches nothing, and nothing breaks a bound.
+    let nonsense = Learnt {
+        kinds: vec![LearntKind { limit: -1.0, growing: false, served: f64::NAN }; 9],
+        limits: vec![(0, f64::INFINITY), (2, 1e300), (4, -3.0)],
+        latencies: vec![(String::new(), vec![f64::NAN, -1.0, 0.0])],
+    };
+    let odd = room(Some(&nonsense));
+    assert_eq!((odd[0], odd[2]), (fresh[0], fresh[2]));
+    assert!(odd[1] <= 64, "{odd:?}");
+}
