Ask clients back after the class's aim where the last backend is taken out

A proxy without a slot is taken for one that refuses by chance (balancer.rs retry_after, CHANCE_WAIT), which asks clients back at once. A ban is no chance. Rejected: the longest that clients heed, for a call back may come at any moment.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -578,7 +578,9 @@
     /// requests came together there, and the client's next try, likely at another proxy, can still meet the
     /// aim. With many slots to a proxy a refusal means that the fleet is full.
     fn retry_after(&self, class: usize) -> Micros {
-        let part = (self.pool.slots / CHANCE_SLOTS).clamp(CHANCE_WAIT, 1.0);
+        let chance = (self.pool.slots / CHANCE_SLOTS).clamp(CHANCE_WAIT, 1.0);
+        // Where the operators have taken out the last server, no other moment is better than this one.
+        let part = if self.all_out() { 1.0 } else { chance };
         (self.settings.classes[class].aim as f64 * part) as Micros
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -379,7 +379,7 @@
         Action::Refuse { retry_after, .. } => Some(*retry_after),
         _ => None,
     });
-    assert!(wait.expect("refused at once") > 0);
+    assert_eq!(wait.expect("refused at once"), proxy.settings.classes[1].aim, "and not asked back at once");
     proxy.maintain(0, false);
     proxy.advance(SECOND);
     proxy.serve(|_| SECOND);
