--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -12,6 +12,7 @@
 pub mod driver;
 pub mod handover;
 pub mod pace;
+pub mod program;
 pub mod socket;
 
 /// The largest body of a request or an answer that is held whole.
--- /dev/null
+++ b/src/proxy/program.rs
@@ -0,0 +1,184 @@
+//! One real proxy: start-up, signals, exit code. Both `gatestage proxy` and `haventrack-proxy` run it.
+
+use crate::balancer::Balancer;
+use crate::proxy::admin::Operations;
+use crate::proxy::backends::Fleet;
+use crate::proxy::bodies::Transfers;
+use crate::proxy::clients::Clients;
+use crate::proxy::clock::Clock;
+use crate::proxy::config::{Config, Names};
+use crate::proxy::discovery::{Numbers, Translator, Watcher};
+use crate::proxy::drain::Drain;
+use crate::proxy::driver::{Driver, Handle, Limits, Message};
+use crate::proxy::handover::{self, Bans, Company, Held, Predecessor};
+use crate::proxy::log;
+use std::cell::{Cell, RefCell};
+use std::env;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::LocalSet;
+
+/// The kernel's queue of connections that are not accepted yet.
+const BACKLOG: u32 = 1_024;
+
+/// Listens at an address. `shared`: another process of this proxy may do so as well, or do so already.
+fn listen(address: SocketAddr, shared: bool) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    // A restarted proxy takes its old address although connections of the old process linger.
+    socket.set_reuseaddr(true)?;
+    if shared {
+        socket.set_reuseport(true)?;
+    }
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// The clients' listener: that of the process which this one replaces, or one of its own.
+fn open_door(config: &Config) -> Result<(TcpListener, Option<Predecessor>), Box<dyn Error>> {
+    let taken = config.admin.and_then(|_| handover::take_over(&env::temp_dir(), config.listen));
+    if let Some((listener, predecessor)) = taken {
+        return Ok((listener, Some(predecessor)));
+    }
+    let listener = listen(config.listen, config.admin.is_some());
+    Ok((listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?, None))
+}
+
+/// The signals that the proxy takes while it runs.
+struct Signals {
+    stop: Signal,
+    reload: Signal,
+}
+
+/// What a new configuration changes.
+struct Settled {
+    clients: Rc<Clients>,
+    fleet: Rc<Fleet>,
+    handle: Handle,
+    /// Where discovery listens, and the names in its lists.
+    discovery: watch::Sender<(SocketAddr, Names)>,
+    config: Config,
+}
+
+impl Settled {
+    /// Reads the configuration again. Either all of it is taken or none: what is not whole or makes no sense changes
+    /// nothing, and the proxy goes on with what it has.
+    async fn reload(&mut self) -> Result<(), Box<dyn Error>> {
+        let config = self.config.again_from_env()?;
+        let (numbers, told) = oneshot::channel();
+        self.handle.tell(Message::Settings(Box::new(config.settings.clone()), numbers));
+        let numbers = told.await?;
+        self.clients.adopt(&config.settings, &config.names, &numbers);
+        let report = config.names.report.clone();
+        self.fleet.retune(config.dial_timeout, config.settings.permissions.conn_idle, report);
+        self.discovery.send_if_modified(|told| {
+            let now = (config.discovery, config.names.clone());
+            let differs = *told != now;
+            *told = now;
+            differs
+        });
+        let classes: Vec<_> = config.settings.classes.iter().map(|c| c.name.as_str()).collect();
+        log(format_args!("SIGHUP: new configuration in force, classes {}", classes.join(", ")));
+        self.config = config;
+        Ok(())
+    }
+}
+
+async fn run(mut config: Config, mut signals: Signals) -> Result<(), Box<dyn Error>> {
+    let clock = Clock::start();
+    let (listener, predecessor) = open_door(&config)?;
+    let listener = Rc::new(listener);
+    log(format_args!("{} listens on {}", config.name, listener.local_addr()?));
+    let settings = config.settings.clone();
+    let asked = settings.discovery_on_request;
+    let limits =
+        Limits { max_attempts: settings.permissions.max_attempts, report_by_probe: settings.report_by_probe };
+    let transfers = Transfers::within(config.memory);
+    let fleet = Fleet::new(
+        config.backend_sockets,
+        config.dial_timeout,
+        settings.permissions.conn_idle,
+        config.names.report.clone(),
+        transfers.clone(),
+    );
+    let mut balancer = Balancer::new(settings.clone(), config.seed, clock.now())?;
+    predecessor.iter().for_each(|p| balancer.recall(&p.legacy.learnt));
+    let (subscribe, subscriptions) = mpsc::unbounded_channel();
+    let (driver, handle) = Driver::new(balancer, clock, Rc::clone(&fleet), limits, subscribe);
+    let held = Rc::new(Cell::new(false));
+    let numbers = Rc::new(RefCell::new(Numbers::default()));
+    let listed = predecessor.iter().flat_map(|p| &p.legacy.names);
+    listed.for_each(|name| _ = numbers.borrow_mut().number(name));
+    let translator = Translator::new(clock, &config.names, Rc::clone(&numbers));
+    let subscriptions = asked.then_some(subscriptions);
+    let mut watcher =
+        Watcher::new(config.discovery, translator, handle.clone(), Rc::clone(&held), subscriptions);
+    let drain = Drain::new();
+    // What the operators have taken out of use is told before any list.
+    let operations = config.admin.map(|address| {
+        let (drain, held, handle) = (Rc::clone(&drain), Rc::clone(&held), handle.clone());
+        (address, Operations::new(drain, held, handle, Rc::clone(&numbers), Bans::shared()))
+    });
+    watcher.start_from(config.known.take());
+    let clients = Clients::new(handle.clone(), clock, &config, held, Rc::clone(&drain), transfers);
+    let most = Held { clients: config.client_sockets, backends: config.backend_sockets };
+    let (door, both) = (Rc::clone(&listener), (Rc::clone(&clients), Rc::clone(&fleet)));
+    let company = Company::new(door, numbers, handle.clone(), both.0, both.1, most);
+
+    let mut driver = tokio::task::spawn_local(driver.run());
+    let (discovery, moves) = watch::channel((config.discovery, config.names.clone()));
+    tokio::task::spawn_local(watcher.run(moves));
+    tokio::task::spawn_local(Rc::clone(&fleet).sweep());
+    let accept = tokio::task::spawn_local(Rc::clone(&clients).accept(listener));
+    if let Some((address, operations)) = operations {
+        let listener = listen(address, false).map_err(|e| format!("cannot listen on {address}: {e}"))?;
+        log(format_args!("operators call at {}", listener.local_addr()?));
+        tokio::task::spawn_local(Rc::clone(&operations).watch_bans());
+        tokio::task::spawn_local(operations.serve(listener));
+        predecessor.into_iter().for_each(|other| company.follow(other));
+        tokio::task::spawn_local(Rc::clone(&company).serve());
+    }
+    let mut settled = Settled { clients: Rc::clone(&clients), fleet, handle, discovery, config };
+    loop {
+        tokio::select! {
+            ended = &mut driver => return Err(format!("the driver ended: {ended:?}").into()),
+            Some(()) = signals.reload.recv() => if let Err(error) = settled.reload().await {
+                log(format_args!("SIGHUP changes nothing: {error}"));
+            },
+            _ = signals.stop.recv() => {
+                let replaced = company.has_successor();
+                if replaced {
+                    accept.abort();
+                }
+                drain.stop(&clients, replaced).await;
+                return Ok(());
+            }
+        }
+    }
+}
+
+fn start() -> Result<(), Box<dyn Error>> {
+    let config = Config::from_env()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, async {
+        let signals =
+            Signals { stop: signal(SignalKind::terminate())?, reload: signal(SignalKind::hangup())? };
+        run(config, signals).await
+    })
+}
+
+/// Runs the proxy until SIGTERM. The configuration is the JSON file that `EDGE_CONFIG` names; an error that stops
+/// the start is logged and gives a failure.
+pub fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log(format_args!("haventrack-proxy: {error}"));
+            ExitCode::FAILURE
+        }
+    }
+}
