Add the cluster rig: proxies as processes, stand-ins, a fault relay and a report

Change: `gatestage rig SCENARIO` (src/rig/, one face `rig::run`). Proxies are real `gatestage proxy` processes, signalled by their own pid only. Stand-in backends on hyper follow the protocol (service time, errors, cold start; slow, fail, hang on the timeline); a stand-in list service answers lists and watches and says `leaving`; a relay before each backend delays, refuses, resets or black-holes. Open-loop Poisson clients sit behind a front that drops a proxy it cannot reach and takes it back at GET /up. The scenario is TOML, checked before anything starts, errors naming the line; all listeners on loopback, every run bounded in time and count. The report: shares per second and class, hdrhistogram p50/p99/p999, lost ids, arrivals into each black hole per second, a plotters SVG, every request as a JSON line. Rejected: driving proxies in-process as tests/proxy does; a kill -9 there would take the test with it, and the protocol's front sees processes.

--- a/src/bin/gatestage.rs
+++ b/src/bin/gatestage.rs
@@ -2,6 +2,8 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
+use haventrack::rig::Scenario;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// gatestage: an HTTP/1.1 load-balancing proxy that learns a concurrency limit per server.
@@ -16,10 +18,52 @@
 enum Part {
     /// Runs one proxy; `EDGE_CONFIG` names its JSON configuration, as for `haventrack-proxy`.
     Proxy,
+    /// Runs a scenario of the cluster rig: proxies as processes, stand-in backends, faults between them.
+    Rig {
+        /// The scenario's TOML file.
+        scenario: PathBuf,
+        /// Where the report goes: `summary.json`, `plot.svg`, `requests.jsonl`, the proxies' logs.
+        #[arg(long, default_value = "logs/rig")]
+        out: PathBuf,
+        /// Only checks the scenario; nothing starts.
+        #[arg(long)]
+        check: bool,
+    },
+}
+
+/// Runs a rig scenario; an error names what is wrong, and with a bad scenario nothing has started.
+fn rig(scenario: &Path, out: &Path, check: bool) -> Result<(), String> {
+    let scenario = Scenario::from_file(scenario).map_err(|e| format!("{}: {e}", scenario.display()))?;
+    if check {
+        return Ok(());
+    }
+    let program = std::env::current_exe().map_err(|e| format!("where is this program: {e}"))?;
+    let summary = haventrack::rig::run(&scenario, &program, &out.join(&scenario.name))?;
+    let (total, latency) = (&summary.total, &summary.latency);
+    println!(
+        "{}: {} sent, {:.3} answered, {} refused, {} lost, {} timed out; p50 {:.1} ms, p99 {:.1} ms, p999 {:.1} ms",
+        summary.scenario,
+        total.sent,
+        total.answered(),
+        total.refused,
+        total.lost,
+        total.timed_out,
+        latency.p50_ms,
+        latency.p99_ms,
+        latency.p999_ms
+    );
+    Ok(())
 }
 
 fn main() -> ExitCode {
     match Command::parse().part {
         Part::Proxy => haventrack::proxy::program::main(),
+        Part::Rig { scenario, out, check } => match rig(&scenario, &out, check) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("gatestage rig: {error}");
+                ExitCode::from(2)
+            }
+        },
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod api;
 pub mod balancer;
 pub mod proxy;
+pub mod rig;
 mod state;
 pub mod wire;
--- /dev/null
+++ b/src/rig/mod.rs
@@ -0,0 +1,274 @@
+//! The cluster rig: several processes of `gatestage proxy` on loopback, stand-in backends and a list service, a
+//! fault relay before every backend, open-loop clients, and a timeline of faults; one report per run.
+//!
+//! Its one face is [`run`]: a checked [`Scenario`] in, a [`Summary`] out, with `summary.json`, `plot.svg`, the
+//! proxies' logs and configurations left in the folder of the run. Every run is bounded by the scenario's
+//! duration and request count, and every listener is on loopback.
+
+mod backends;
+mod list;
+mod load;
+mod procs;
+mod relay;
+mod report;
+mod scenario;
+
+pub use load::{Outcome, Record};
+pub use report::{Summary, Tally};
+pub use scenario::{Action, Scenario, ScenarioError};
+
+use backends::{Backend, Behaviour, Traits};
+use list::List;
+use procs::Proxy;
+use relay::{Mode, Relay};
+use report::Happened;
+use rustix::process::Signal;
+use scenario::Target;
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// How long a proxy may take to answer `GET /up` after its start.
+const START_PATIENCE: Duration = Duration::from_secs(15);
+
+/// What the rig runs: everything but the proxies lives in this process.
+struct Cluster {
+    backends: Vec<Backend>,
+    relays: Vec<Relay>,
+    /// The zone of each backend, by name.
+    zones: Vec<String>,
+    list: List,
+    proxies: Mutex<Vec<Proxy>>,
+}
+
+/// Runs a scenario with `program` as the proxies' program (`gatestage`) and leaves its report in `out`.
+///
+/// # Errors
+/// When a listener can't be opened, a proxy can't start or does not come up, or the report can't be written;
+/// the message names which.
+pub fn run(scenario: &Scenario, program: &Path, out: &Path) -> Result<Summary, String> {
+    std::fs::create_dir_all(out).map_err(|e| format!("cannot make {}: {e}", out.display()))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+    let summary = runtime.block_on(play(scenario, program, out))?;
+    report::write(&summary, out)?;
+    Ok(summary)
+}
+
+async fn build(scenario: &Scenario, program: &Path, out: &Path) -> Result<Cluster, String> {
+    let host = scenario.ip();
+    let (mut backends, mut relays, mut zones, mut members) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+    for group in &scenario.backends {
+        let traits = Traits {
+            service: Duration::from_secs_f64(group.service_ms.get_ref() / 1e3),
+            error_share: *group.error_share.get_ref(),
+            warm: Duration::from_secs_f64(*group.warm_s.get_ref()),
+        };
+        for _ in 0..group.count {
+            let n = backends.len();
+            let seed = scenario.seed.wrapping_mul(31).wrapping_add(n as u64);
+            let backend =
+                Backend::start(host, traits, seed).await.map_err(|e| format!("backend-{n}: {e}"))?;
+            let relay = Relay::start(host, backend.address).await.map_err(|e| format!("relay {n}: {e}"))?;
+            members.push(list::member(&format!("backend-{n}"), relay.address, group.zone.get_ref()));
+            zones.push(group.zone.get_ref().clone());
+            backends.push(backend);
+            relays.push(relay);
+        }
+    }
+    let list = List::start(host, members).await.map_err(|e| format!("list service: {e}"))?;
+    let known = list.whole();
+    let mut proxies = Vec::new();
+    for me in 0..scenario.proxies.len() {
+        proxies.push(Proxy::start(program, scenario, me, list.address, &known, out)?);
+    }
+    for proxy in &proxies {
+        come_up(proxy.address, &proxy.name, START_PATIENCE).await?;
+    }
+    Ok(Cluster { backends, relays, zones, list, proxies: Mutex::new(proxies) })
+}
+
+/// Waits until `GET /up` answers 200, as the front does before it takes a proxy in.
+async fn come_up(address: std::net::SocketAddr, name: &str, patience: Duration) -> Result<(), String> {
+    let client = hyper_util::client::legacy::Client::builder(hyper_util::rt::TokioExecutor::new())
+        .build::<_, http_body_util::Empty<bytes::Bytes>>(
+        hyper_util::client::legacy::connect::HttpConnector::new(),
+    );
+    let end = Instant::now() + patience;
+    let uri: hyper::Uri = format!("http://{address}/up").parse().map_err(|e| format!("{name}: {e}"))?;
+    while Instant::now() < end {
+        if let Ok(Ok(answer)) = tokio::time::timeout(Duration::from_secs(1), client.get(uri.clone())).await {
+            if answer.status() == 200 {
+                return Ok(());
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    Err(format!("{name} did not answer GET /up within {patience:?}; see {name}.log"))
+}
+
+async fn play(scenario: &Scenario, program: &Path, out: &Path) -> Result<Summary, String> {
+    let cluster = Arc::new(build(scenario, program, out).await?);
+    let load = &scenario.load;
+    let clients = load::Clients {
+        rate: *load.rate.get_ref(),
+        deadline: Duration::from_secs_f64(load.deadline_ms.get_ref() / 1e3),
+        aim: Duration::from_secs_f64(load.aim_ms.get_ref() / 1e3),
+        keyed_share: *load.keyed_share.get_ref(),
+        duration: Duration::from_secs_f64(*scenario.duration_s.get_ref()),
+        most: load.max_requests,
+        seed: scenario.seed,
+    };
+    let addresses =
+        cluster.proxies.lock().unwrap_or_else(|e| e.into_inner()).iter().map(|p| p.address).collect();
+    let front = load::Front::new(addresses);
+    let started = Instant::now();
+    let end = started + clients.duration;
+    tokio::spawn(Arc::clone(&front).probe(Duration::from_millis(250), end));
+    let timeline = tokio::spawn(timeline(
+        Arc::clone(&cluster),
+        scenario_faults(scenario),
+        program.into(),
+        out.into(),
+        started,
+    ));
+    let records = load::drive(front, clients, started).await;
+    let happened = timeline.await.map_err(|e| format!("the timeline ended: {e}"))?;
+    for proxy in cluster.proxies.lock().unwrap_or_else(|e| e.into_inner()).iter_mut() {
+        proxy.end();
+    }
+    let stopped = stopped_after(&cluster, &happened, started, end);
+    let faults = happened.into_iter().map(|(at, what, _)| Happened { at_s: at, what }).collect();
+    let summary = report::summarise(&scenario.name, &records, faults, stopped);
+    write_records(&records, out)?;
+    Ok(summary)
+}
+
+/// A fault in the form the timeline carries out.
+#[derive(Clone)]
+struct Planned {
+    at: Duration,
+    action: Action,
+    target: String,
+    mode: Option<Mode>,
+    factor: f64,
+}
+
+fn scenario_faults(scenario: &Scenario) -> Vec<Planned> {
+    let mut planned: Vec<Planned> = scenario
+        .faults
+        .iter()
+        .map(|fault| Planned {
+            at: Duration::from_secs_f64(*fault.at_s.get_ref()),
+            action: fault.action,
+            target: fault.target.get_ref().clone(),
+            mode: (fault.action == Action::Delay).then(|| Mode::Delay {
+                delay: Duration::from_secs_f64(fault.delay_ms / 1e3),
+                jitter: Duration::from_secs_f64(fault.jitter_ms / 1e3),
+            }),
+            factor: fault.factor,
+        })
+        .collect();
+    planned.sort_by_key(|p| p.at);
+    planned
+}
+
+/// Carries out the faults at their times; gives each with the time it was done and the backends it touched.
+async fn timeline(
+    cluster: Arc<Cluster>,
+    planned: Vec<Planned>,
+    program: std::path::PathBuf,
+    out: std::path::PathBuf,
+    started: Instant,
+) -> Vec<(f64, String, Vec<usize>)> {
+    let mut happened = Vec::new();
+    for fault in planned {
+        tokio::time::sleep_until((started + fault.at).into()).await;
+        let touched = apply(&cluster, &fault, &program, &out);
+        let at = started.elapsed().as_secs_f64();
+        eprintln!("rig: {at:6.2} s  {:?} {}", fault.action, fault.target);
+        happened.push((at, format!("{:?} {}", fault.action, fault.target), touched));
+    }
+    happened
+}
+
+/// Does one fault now; gives the backends it touched.
+fn apply(cluster: &Cluster, fault: &Planned, program: &Path, out: &Path) -> Vec<usize> {
+    let backends: Vec<usize> = match Target::parse(&fault.target) {
+        Some(Target::Proxy(n)) => {
+            let mut proxies = cluster.proxies.lock().unwrap_or_else(|e| e.into_inner());
+            let proxy = &mut proxies[n];
+            match fault.action {
+                Action::Kill => proxy.signal(Signal::KILL),
+                Action::Term => proxy.signal(Signal::TERM),
+                Action::Stop => proxy.signal(Signal::STOP),
+                Action::Cont => proxy.signal(Signal::CONT),
+                Action::Restart if !proxy.running() => {
+                    if let Err(error) = proxy.launch(program, out) {
+                        eprintln!("rig: {error}");
+                    }
+                }
+                _ => {}
+            }
+            return Vec::new();
+        }
+        Some(Target::Backend(n)) => vec![n],
+        Some(Target::Zone(name)) => (0..cluster.zones.len()).filter(|&n| cluster.zones[n] == name).collect(),
+        None => Vec::new(),
+    };
+    for &n in &backends {
+        let (backend, relay, id) = (&cluster.backends[n], &cluster.relays[n], format!("backend-{n}"));
+        match fault.action {
+            Action::BlackHole => relay.set(Mode::BlackHole),
+            Action::Delay => relay.set(fault.mode.unwrap_or(Mode::Pass)),
+            Action::Refuse => relay.set(Mode::Refuse),
+            Action::Reset => relay.set(Mode::Reset),
+            Action::Heal => relay.set(Mode::Pass),
+            Action::Slow => backend.set(Behaviour::Slow(fault.factor)),
+            Action::Fail => backend.set(Behaviour::Fail),
+            Action::Hang => backend.set(Behaviour::Hang),
+            Action::Recover => backend.set(Behaviour::Normal),
+            Action::Drain => cluster.list.set_phase(&id, "leaving"),
+            Action::Undrain => cluster.list.set_phase(&id, "active"),
+            _ => {}
+        }
+    }
+    backends
+}
+
+/// For each `black_hole`, how long after it requests still came to the backends it touched, up to the `heal`
+/// that ends it (or the end of the run); `None` where they came until the last second of that span.
+fn stopped_after(
+    cluster: &Cluster,
+    happened: &[(f64, String, Vec<usize>)],
+    started: Instant,
+    end: Instant,
+) -> Vec<(Option<f64>, Vec<u64>)> {
+    let run_end = end.duration_since(started).as_secs_f64();
+    let holes = happened.iter().enumerate().filter(|(_, (_, what, _))| what.starts_with("BlackHole"));
+    holes
+        .map(|(k, (at, _, touched))| {
+            let healed =
+                happened[k + 1..].iter().find(|(_, what, t)| what.starts_with("Heal") && t == touched);
+            let until = healed.map_or(run_end, |(t, _, _)| *t);
+            let came = touched.iter().flat_map(|&n| cluster.relays[n].arrivals(started));
+            let came: Vec<f64> = came.filter(|t| (*at..until).contains(t)).collect();
+            let seconds = ((until - at).ceil() as usize).max(1);
+            let mut per_second = vec![0; seconds];
+            came.iter().for_each(|t| per_second[((t - at) as usize).min(seconds - 1)] += 1);
+            let last = came.iter().copied().fold(*at, f64::max);
+            ((last < until - 1.0).then_some(last - at), per_second)
+        })
+        .collect()
+}
+
+/// Every request's record as a JSON line, in `requests.jsonl`.
+fn write_records(records: &[Record], out: &Path) -> Result<(), String> {
+    let mut text = String::new();
+    for record in records {
+        text.push_str(&serde_json::to_string(record).map_err(|e| format!("a record: {e}"))?);
+        text.push('\n');
+    }
+    let path = out.join("requests.jsonl");
+    std::fs::write(&path, text).map_err(|e| format!("cannot write {}: {e}", path.display()))
+}
--- /dev/null
+++ b/src/rig/procs.rs
@@ -0,0 +1,116 @@
+//! The proxies of a run: real processes of `gatestage proxy`, started, signalled and restarted by their own pid.
+//! Only processes that the rig started are ever signalled.
+
+use super::scenario::Scenario;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use std::fs::{self, File};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+/// One proxy of the run.
+pub struct Proxy {
+    /// Its name, `proxy-N`.
+    pub name: String,
+    /// Where clients connect; it keeps this address across restarts.
+    pub address: SocketAddr,
+    config: PathBuf,
+    home: PathBuf,
+    child: Option<Child>,
+}
+
+/// The settings of the module for a proxy of the rig: one class that is safe to repeat and one keyed class.
+fn settings(scenario: &Scenario, me: usize, zone: usize) -> Value {
+    let (aim, deadline) = (*scenario.load.aim_ms.get_ref(), *scenario.load.deadline_ms.get_ref());
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "aimUs": (aim * 1e3) as u64, "deadlineUs": (deadline * 1e3) as u64, "worth": 1.0,
+               "lateWorth": 0.5, "effect": effect, "group": "cell", "keyTtlUs": 30_000_000})
+    };
+    json!({"me": me, "balancers": scenario.proxies.len(), "zone": zone, "failureDomains": scenario.zones,
+        "kinds": ["m"], "membershipMode": "pushed",
+        "classes": [class("read", "retryable"), class("submit", "dedup")],
+        "permissions": {"maxAttempts": 3, "secondCopies": false, "cancel": true, "probes": true,
+                        "connIdleUs": 15_000_000, "multiplex": 1, "retryAfter": true,
+                        "maxRetryAfterUs": 2_000_000, "dialTimeoutUs": 1_000_000},
+        "safety": {"coldFrom": 0.3, "coldUs": 8_000_000, "fallMultiple": 3.0, "fallUs": 2_000_000}})
+}
+
+/// A free port on `host`, as the kernel gives one; the proxy takes it with `SO_REUSEADDR`.
+fn free_port(host: std::net::IpAddr) -> std::io::Result<SocketAddr> {
+    TcpListener::bind((host, 0))?.local_addr()
+}
+
+impl Proxy {
+    /// Writes the configuration of proxy `me` under `out` and starts it.
+    ///
+    /// # Errors
+    /// When no port is free, the files can't be written or the program can't start.
+    pub fn start(
+        program: &Path,
+        scenario: &Scenario,
+        me: usize,
+        list: SocketAddr,
+        known: &Value,
+        out: &Path,
+    ) -> Result<Self, String> {
+        let name = format!("proxy-{me}");
+        let address = free_port(scenario.ip()).map_err(|e| format!("no port for {name}: {e}"))?;
+        let zone = scenario.zone(scenario.proxies[me].zone.get_ref()).unwrap_or_default();
+        let config = json!({"name": name, "listen": address.to_string(), "discovery": list.to_string(),
+            "seed": format!("{:016x}", scenario.seed.wrapping_add(me as u64)),
+            "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 1024},
+            "known": known, "settings": settings(scenario, me, zone)});
+        let path = out.join(format!("{name}.json"));
+        fs::write(&path, config.to_string()).map_err(|e| format!("cannot write {}: {e}", path.display()))?;
+        let home = out.join(format!("{name}.tmp"));
+        fs::create_dir_all(&home).map_err(|e| format!("cannot make {}: {e}", home.display()))?;
+        let mut proxy = Self { name, address, config: path, home, child: None };
+        proxy.launch(program, out)?;
+        Ok(proxy)
+    }
+
+    /// Starts the program again on the same address; its log goes on in the same file.
+    ///
+    /// # Errors
+    /// When the program can't start.
+    pub fn launch(&mut self, program: &Path, out: &Path) -> Result<(), String> {
+        let log = out.join(format!("{}.log", self.name));
+        let log = File::options().create(true).append(true).open(&log);
+        let log = log.map_err(|e| format!("cannot open the log of {}: {e}", self.name))?;
+        let mut command = Command::new(program);
+        command.arg("proxy").env("EDGE_CONFIG", &self.config).env("TMPDIR", &self.home);
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
+        self.child = Some(child.map_err(|e| format!("cannot start {}: {e}", self.name))?);
+        Ok(())
+    }
+
+    /// Sends a signal to this proxy's process, if it still runs.
+    pub fn signal(&mut self, signal: Signal) {
+        let Some(child) = self.child.as_mut() else { return };
+        if child.try_wait().ok().flatten().is_some() {
+            return;
+        }
+        let _ = kill_process(Pid::from_child(child), signal);
+    }
+
+    /// Whether its process runs.
+    pub fn running(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Ends the process for good and reaps it; what it had is not waited for.
+    pub fn end(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = kill_process(Pid::from_child(&child), Signal::CONT);
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
--- /dev/null
+++ b/tests/rig.rs
@@ -0,0 +1,133 @@
+//! The cluster rig with real processes: `gatestage rig` starts proxies of this program, injects faults between
+//! them and its stand-ins, and its `summary.json` is what these tests read. Bounds are generous: every verdict
+//! rests on shares over whole seconds, not on a moment.
+
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::{env, fs};
+
+fn folder(test: &str) -> PathBuf {
+    let path = env::temp_dir().join(format!("gatestage-rig-{}-{test}", std::process::id()));
+    let _ = fs::remove_dir_all(&path);
+    fs::create_dir_all(&path).expect("a folder");
+    path
+}
+
+/// Runs `gatestage rig` on this scenario text.
+fn rig(test: &str, scenario: &str) -> (Output, PathBuf) {
+    let folder = folder(test);
+    let file = folder.join("scenario.toml");
+    fs::write(&file, scenario).expect("the scenario is written");
+    let out = folder.join("out");
+    let output = Command::new(env!("CARGO_BIN_EXE_gatestage"))
+        .arg("rig")
+        .arg(&file)
+        .arg("--out")
+        .arg(&out)
+        .output()
+        .expect("the rig starts");
+    (output, out)
+}
+
+fn summary(test: &str, scenario: &str, name: &str) -> (Value, PathBuf) {
+    let (output, out) = rig(test, scenario);
+    let stderr = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "the rig failed: {stderr}");
+    let run = out.join(name);
+    let text = fs::read_to_string(run.join("summary.json")).expect("a summary");
+    assert!(run.join("plot.svg").exists(), "a plot");
+    (serde_json::from_str(&text).expect("JSON"), run)
+}
+
+fn share_answered(second: &Value) -> f64 {
+    let n = |k: &str| second[k].as_f64().expect("a count");
+    (n("served") + n("late")) / n("sent").max(1.0)
+}
+
+fn with_faults(file: &str, faults: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios").join(file);
+    let text = fs::read_to_string(path).expect("a shipped scenario");
+    let head = text.split("[[fault]]").next().expect("a head").to_owned();
+    head + faults
+}
+
+#[test]
+fn the_other_proxies_serve_through_a_kill_and_the_lost_are_named() {
+    let faults = "[[fault]]\nat_s = 3\naction = \"kill\"\ntarget = \"proxy-1\"\n\
+                  [[fault]]\nat_s = 6\naction = \"restart\"\ntarget = \"proxy-1\"\n";
+    let scenario = with_faults("proxy-kill.toml", faults).replace("duration_s = 12", "duration_s = 10");
+    let (summary, run) = summary("kill", &scenario, "proxy-kill");
+    let seconds = summary["per_second"].as_array().expect("seconds");
+    for (s, second) in seconds.iter().enumerate().take(10).skip(4) {
+        assert!(share_answered(second) >= 0.95, "second {s}: {second}");
+    }
+    let lost: Vec<_> =
+        summary["lost_ids"].as_array().expect("ids").iter().map(|v| v.as_str().unwrap()).collect();
+    assert_eq!(lost.len() as u64, summary["total"]["lost"].as_u64().unwrap());
+    let records = fs::read_to_string(run.join("requests.jsonl")).expect("records");
+    let records: Vec<Value> = records.lines().map(|l| serde_json::from_str(l).expect("a record")).collect();
+    for id in &lost {
+        assert!(records.iter().any(|r| r["id"] == *id && r["outcome"] == "lost"), "{id} has a record");
+    }
+    let back = records.iter().filter(|r| r["proxy"] == 1 && r["sent_us"].as_u64().unwrap() > 7_500_000);
+    assert!(back.filter(|r| r["outcome"] == "served").count() > 20, "the restarted proxy serves again");
+}
+
+#[test]
+fn the_proxies_all_but_stop_sending_to_a_black_holed_zone() {
+    let faults = "[[fault]]\nat_s = 3\naction = \"black_hole\"\ntarget = \"zone-b\"\n";
+    let scenario = with_faults("zone-loss.toml", faults).replace("duration_s = 14", "duration_s = 9");
+    let (summary, _) = summary("hole", &scenario, "zone-loss");
+    let hole = &summary["black_holes"][0];
+    let arrivals: Vec<u64> =
+        hole["arrivals_per_second"].as_array().unwrap().iter().map(|v| v.as_u64().unwrap()).collect();
+    // Before the hole about half of 200 requests a second go to zone b.
+    assert!(arrivals.len() >= 5, "{hole}");
+    for (s, &came) in arrivals.iter().enumerate().skip(2) {
+        assert!(came <= 10, "second {s} after the hole: {came} requests came in");
+    }
+    let seconds = summary["per_second"].as_array().expect("seconds");
+    for (s, second) in seconds.iter().enumerate().take(9).skip(5) {
+        assert!(share_answered(second) >= 0.95, "second {s}: {second}");
+    }
+}
+
+fn refused(test: &str, scenario: &str, words: &[&str]) {
+    let (output, out) = rig(test, scenario);
+    let stderr = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{stderr}");
+    for word in words {
+        assert!(stderr.contains(word), "`{word}` is not in: {stderr}");
+    }
+    assert!(!out.exists(), "nothing started");
+}
+
+#[test]
+fn a_bad_scenario_is_refused_with_its_line_and_nothing_starts() {
+    let good =
+        fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios/proxy-kill.toml")).unwrap();
+    refused(
+        "unknown",
+        &good.replace("seed = 11", "seed = 11\nspeed = 3"),
+        &["unknown field `speed`", "line 5"],
+    );
+    refused("negative", &good.replace("rate = 300", "rate = -300"), &["line 20", "`rate` is -300"]);
+    let outside = good.replace("zones = [\"a\"]", "zones = [\"a\"]\nhost = \"10.0.0.1\"");
+    refused("outside", &outside, &["line 6", "not on loopback"]);
+}
+
+#[test]
+fn every_shipped_scenario_is_a_valid_one() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios");
+    let mut checked = 0;
+    for entry in fs::read_dir(folder).expect("scenarios") {
+        let path = entry.expect("an entry").path();
+        let output =
+            Command::new(env!("CARGO_BIN_EXE_gatestage")).arg("rig").arg("--check").arg(&path).output();
+        let output = output.expect("the rig starts");
+        assert!(output.status.success(), "{}: {}", path.display(), String::from_utf8_lossy(&output.stderr));
+        checked += 1;
+    }
+    assert!(checked >= 4);
+}
