Add gatestage registry: the platform's list and watch from a store of its own

Change: src/registry/ (face `registry::serve`), one instance for now. A Store keeps the members, a revision that only grows, and the last `keep_changes` changes; `since(after)` gives the changed entries, or the whole list with complete:true when `after` is 0, ahead of the store, or older than what is kept. Members come from a TOML file; SIGHUP reads it again, whole or not at all, and a member that is gone is told once as `left`.

--- a/src/bin/gatestage.rs
+++ b/src/bin/gatestage.rs
@@ -29,6 +29,12 @@
         #[arg(long)]
         check: bool,
     },
+    /// Runs the list service: the platform's list and watch from the members of a TOML file; SIGHUP reads it again.
+    Registry {
+        /// The configuration: `listen`, `keep_changes`, and `[[member]]` tables.
+        #[arg(long)]
+        config: PathBuf,
+    },
     /// Measures what the rig's fault relay adds to a request's latency, against a direct connection, and prints
     /// both as JSON.
     RelayOverhead {
@@ -77,6 +83,7 @@
     match Command::parse().part {
         Part::Proxy => haventrack::proxy::program::main(),
         Part::Rig { scenario, out, check } => finish("rig", rig(&scenario, &out, check)),
+        Part::Registry { config } => finish("registry", haventrack::registry::serve(config)),
         Part::RelayOverhead { requests } => {
             let measured = haventrack::rig::relay_overhead(std::net::Ipv4Addr::LOCALHOST.into(), requests);
             let printed = measured.and_then(|o| serde_json::to_string_pretty(&o).map_err(|e| e.to_string()));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod api;
 pub mod balancer;
 pub mod proxy;
+pub mod registry;
 pub mod rig;
 mod state;
 pub mod wire;
