Run the list service on the rig as a process of gatestage registry, behind a relay

Change: the rig starts `gatestage registry` with the scenario's members, puts a relay before it and gives the proxies the relay's address; a drain rewrites the registry's file and sends it SIGHUP. The target `list` takes the process faults (kill, term, stop, cont, restart) and the relay faults. The in-process stand-in list is gone. Proxies and the list service share one Process type. Rejected: keeping the stand-in beside the registry; two list services would drift and the rig would not test what users run.

--- a/src/rig/mod.rs
+++ b/src/rig/mod.rs
@@ -1,12 +1,12 @@
-//! The cluster rig: several processes of `gatestage proxy` on loopback, stand-in backends and a list service, a
-//! fault relay before every backend, open-loop clients, and a timeline of faults; one report per run.
+//! The cluster rig: several processes of `gatestage proxy` and one of `gatestage registry` on loopback, stand-in
+//! backends, a fault relay before every backend and before the list service, open-loop clients, and a timeline
+//! of faults; one report per run.
 //!
 //! Its one face is [`run`]: a checked [`Scenario`] in, a [`Summary`] out, with `summary.json`, `plot.svg`, the
 //! proxies' logs and configurations left in the folder of the run. Every run is bounded by the scenario's
 //! duration and request count, and every listener is on loopback.
 
 mod backends;
-mod list;
 mod load;
 mod overhead;
 mod procs;
@@ -19,9 +19,9 @@
 pub use report::{Summary, Tally};
 pub use scenario::{Action, Scenario, ScenarioError};
 
+use crate::registry::Member;
 use backends::{Backend, Behaviour, Traits};
-use list::List;
-use procs::Proxy;
+use procs::{Process, Proxy};
 use relay::{Mode, Relay};
 use report::Happened;
 use rustix::process::Signal;
@@ -33,13 +33,19 @@
 /// How long a proxy may take to answer `GET /up` after its start.
 const START_PATIENCE: Duration = Duration::from_secs(15);
 
-/// What the rig runs: everything but the proxies lives in this process.
+/// What the rig runs: the proxies and the list service are processes of the program; the backends and the
+/// relays live in this one.
 struct Cluster {
     backends: Vec<Backend>,
     relays: Vec<Relay>,
     /// The zone of each backend, by name.
     zones: Vec<String>,
-    list: List,
+    /// The list service, a process of the program, and the relay before it that the proxies dial.
+    registry: Mutex<Process>,
+    list_relay: Relay,
+    /// The members as the list service's file has them.
+    members: Mutex<Vec<Member>>,
+    out: std::path::PathBuf,
     proxies: Mutex<Vec<Proxy>>,
 }
 
@@ -72,32 +78,51 @@
             let backend =
                 Backend::start(host, traits, seed).await.map_err(|e| format!("backend-{n}: {e}"))?;
             let relay = Relay::start(host, backend.address).await.map_err(|e| format!("relay {n}: {e}"))?;
-            members.push(list::member(&format!("backend-{n}"), relay.address, group.zone.get_ref()));
+            members.push(Member {
+                id: format!("backend-{n}"),
+                host_port: relay.address.to_string(),
+                locality: group.zone.get_ref().clone(),
+                flavor: "m".to_owned(),
+                cell: 0,
+                phase: "active".to_owned(),
+                size: 1.0,
+                up_since_ms: 0,
+            });
             zones.push(group.zone.get_ref().clone());
             backends.push(backend);
             relays.push(relay);
         }
     }
-    let list = List::start(host, members).await.map_err(|e| format!("list service: {e}"))?;
-    let known = list.whole();
+    let registry = Process::registry(program, host, &members, out)?;
+    come_up(registry.address, "/discovery/hosts", &registry.name, START_PATIENCE).await?;
+    let list_relay =
+        Relay::start(host, registry.address).await.map_err(|e| format!("the list's relay: {e}"))?;
+    // The list service begins at revision 1 with these members.
+    let known = serde_json::json!({"revision": 1, "complete": true, "members": members});
     let mut proxies = Vec::new();
     for me in 0..scenario.proxies.len() {
-        proxies.push(Proxy::start(program, scenario, me, list.address, &known, out)?);
+        proxies.push(Proxy::start(program, scenario, me, list_relay.address, &known, out)?);
     }
     for proxy in &proxies {
-        come_up(proxy.address, &proxy.name, START_PATIENCE).await?;
+        come_up(proxy.address, "/up", &proxy.name, START_PATIENCE).await?;
     }
-    Ok(Cluster { backends, relays, zones, list, proxies: Mutex::new(proxies) })
+    let (registry, members, out) = (Mutex::new(registry), Mutex::new(members), out.to_owned());
+    Ok(Cluster { backends, relays, zones, registry, list_relay, members, out, proxies: Mutex::new(proxies) })
 }
 
-/// Waits until `GET /up` answers 200, as the front does before it takes a proxy in.
-async fn come_up(address: std::net::SocketAddr, name: &str, patience: Duration) -> Result<(), String> {
+/// Waits until `GET path` answers 200, as the front does with `/up` before it takes a proxy in.
+async fn come_up(
+    address: std::net::SocketAddr,
+    path: &str,
+    name: &str,
+    patience: Duration,
+) -> Result<(), String> {
     let client = hyper_util::client::legacy::Client::builder(hyper_util::rt::TokioExecutor::new())
         .build::<_, http_body_util::Empty<bytes::Bytes>>(
         hyper_util::client::legacy::connect::HttpConnector::new(),
     );
     let end = Instant::now() + patience;
-    let uri: hyper::Uri = format!("http://{address}/up").parse().map_err(|e| format!("{name}: {e}"))?;
+    let uri: hyper::Uri = format!("http://{address}{path}").parse().map_err(|e| format!("{name}: {e}"))?;
     while Instant::now() < end {
         if let Ok(Ok(answer)) = tokio::time::timeout(Duration::from_secs(1), client.get(uri.clone())).await {
             if answer.status() == 200 {
@@ -106,7 +131,7 @@
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    Err(format!("{name} did not answer GET /up within {patience:?}; see {name}.log"))
+    Err(format!("{name} did not answer GET {path} within {patience:?}; see {name}.log"))
 }
 
 async fn play(scenario: &Scenario, program: &Path, out: &Path) -> Result<Summary, String> {
@@ -139,6 +164,7 @@
     for proxy in cluster.proxies.lock().unwrap_or_else(|e| e.into_inner()).iter_mut() {
         proxy.end();
     }
+    cluster.registry.lock().unwrap_or_else(|e| e.into_inner()).end();
     let shunned = shunned(&cluster, &happened, started, end);
     let faults = happened.into_iter().map(|done| Happened { at_s: done.at, what: done.what }).collect();
     let summary = report::summarise(&scenario.name, &records, faults, shunned);
@@ -211,18 +237,19 @@
     let backends: Vec<usize> = match Target::parse(&fault.target) {
         Some(Target::Proxy(n)) => {
             let mut proxies = cluster.proxies.lock().unwrap_or_else(|e| e.into_inner());
-            let proxy = &mut proxies[n];
-            match fault.action {
-                Action::Kill => proxy.signal(Signal::KILL),
-                Action::Term => proxy.signal(Signal::TERM),
-                Action::Stop => proxy.signal(Signal::STOP),
-                Action::Cont => proxy.signal(Signal::CONT),
-                Action::Restart if !proxy.running() => {
-                    if let Err(error) = proxy.launch(program, out) {
-                        eprintln!("rig: {error}");
-                    }
-                }
-                _ => {}
+            signal(&mut proxies[n], fault.action, program, out);
+            return Vec::new();
+        }
+        Some(Target::List) => {
+            if fault.action.on_proxy() {
+                signal(
+                    &mut cluster.registry.lock().unwrap_or_else(|e| e.into_inner()),
+                    fault.action,
+                    program,
+                    out,
+                );
+            } else {
+                cluster.list_relay.set(relay_mode(fault).unwrap_or(Mode::Pass));
             }
             return Vec::new();
         }
@@ -233,23 +260,60 @@
     for &n in &backends {
         let (backend, relay, id) = (&cluster.backends[n], &cluster.relays[n], format!("backend-{n}"));
         match fault.action {
-            Action::BlackHole => relay.set(Mode::BlackHole),
-            Action::Delay => relay.set(fault.mode.unwrap_or(Mode::Pass)),
-            Action::Refuse => relay.set(Mode::Refuse),
-            Action::Reset => relay.set(Mode::Reset),
-            Action::Heal => relay.set(Mode::Pass),
+            _ if fault.action.on_relay() => relay.set(relay_mode(fault).unwrap_or(Mode::Pass)),
             Action::Slow => backend.set(Behaviour::Slow(fault.factor)),
             Action::Fail => backend.set(Behaviour::Fail),
             Action::Hang => backend.set(Behaviour::Hang),
             Action::Recover => backend.set(Behaviour::Normal),
-            Action::Drain => cluster.list.set_phase(&id, "leaving"),
-            Action::Undrain => cluster.list.set_phase(&id, "active"),
+            Action::Drain => cluster.set_phase(&id, "leaving"),
+            Action::Undrain => cluster.set_phase(&id, "active"),
             _ => {}
         }
     }
     backends
 }
 
+/// What a relay fault makes of the relay.
+fn relay_mode(fault: &Planned) -> Option<Mode> {
+    match fault.action {
+        Action::BlackHole => Some(Mode::BlackHole),
+        Action::Delay => fault.mode,
+        Action::Refuse => Some(Mode::Refuse),
+        Action::Reset => Some(Mode::Reset),
+        Action::Heal => Some(Mode::Pass),
+        _ => None,
+    }
+}
+
+/// Signals a process of the rig, or starts it again on its address.
+fn signal(process: &mut Process, action: Action, program: &Path, out: &Path) {
+    match action {
+        Action::Kill => process.signal(Signal::KILL),
+        Action::Term => process.signal(Signal::TERM),
+        Action::Stop => process.signal(Signal::STOP),
+        Action::Cont => process.signal(Signal::CONT),
+        Action::Restart if !process.running() => {
+            if let Err(error) = process.launch(program, out) {
+                eprintln!("rig: {error}");
+            }
+        }
+        _ => {}
+    }
+}
+
+impl Cluster {
+    /// Gives a member a phase through the list service: its file is written anew and it is told by SIGHUP.
+    fn set_phase(&self, id: &str, phase: &str) {
+        let mut members = self.members.lock().unwrap_or_else(|e| e.into_inner());
+        members.iter_mut().filter(|m| m.id == id).for_each(|m| m.phase = phase.to_owned());
+        let mut registry = self.registry.lock().unwrap_or_else(|e| e.into_inner());
+        match procs::write_members(&self.out.join("registry.toml"), registry.address, &members) {
+            Ok(()) => registry.signal(Signal::HUP),
+            Err(error) => eprintln!("rig: {error}"),
+        }
+    }
+}
+
 /// The fault that ends one that is shunned.
 fn ending(action: Action) -> Option<Action> {
     match action {
--- a/src/rig/procs.rs
+++ b/src/rig/procs.rs
@@ -2,6 +2,7 @@
 //! Only processes that the rig started are ever signalled.
 
 use super::scenario::Scenario;
+use crate::registry::Member;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::fs::{self, File};
@@ -9,17 +10,22 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
-/// One proxy of the run.
-pub struct Proxy {
-    /// Its name, `proxy-N`.
+/// A process of the program that the rig started: a proxy or the list service.
+pub struct Process {
+    /// Its name, as its log file has it.
     pub name: String,
-    /// Where clients connect; it keeps this address across restarts.
+    /// Where it listens; it keeps this address across restarts.
     pub address: SocketAddr,
-    config: PathBuf,
-    home: PathBuf,
+    /// Its subcommand and arguments.
+    args: Vec<std::ffi::OsString>,
+    /// Its environment beyond the rig's.
+    envs: Vec<(&'static str, PathBuf)>,
     child: Option<Child>,
 }
 
+/// One proxy of the run.
+pub type Proxy = Process;
+
 /// The settings of the module for a proxy of the rig: one class that is safe to repeat and one keyed class.
 fn settings(scenario: &Scenario, me: usize, zone: usize) -> Value {
     let (aim, deadline) = (*scenario.load.aim_ms.get_ref(), *scenario.load.deadline_ms.get_ref());
@@ -41,7 +47,7 @@
     TcpListener::bind((host, 0))?.local_addr()
 }
 
-impl Proxy {
+impl Process {
     /// Writes the configuration of proxy `me` under `out` and starts it.
     ///
     /// # Errors
@@ -65,11 +71,31 @@
         fs::write(&path, config.to_string()).map_err(|e| format!("cannot write {}: {e}", path.display()))?;
         let home = out.join(format!("{name}.tmp"));
         fs::create_dir_all(&home).map_err(|e| format!("cannot make {}: {e}", home.display()))?;
-        let mut proxy = Self { name, address, config: path, home, child: None };
+        let envs = vec![("EDGE_CONFIG", path), ("TMPDIR", home)];
+        let mut proxy = Self { name, address, args: vec!["proxy".into()], envs, child: None };
         proxy.launch(program, out)?;
         Ok(proxy)
     }
 
+    /// Writes the list service's configuration with these members under `out` and starts it.
+    ///
+    /// # Errors
+    /// As [`Process::start`].
+    pub fn registry(
+        program: &Path,
+        host: std::net::IpAddr,
+        members: &[Member],
+        out: &Path,
+    ) -> Result<Self, String> {
+        let address = free_port(host).map_err(|e| format!("no port for the registry: {e}"))?;
+        let path = out.join("registry.toml");
+        write_members(&path, address, members)?;
+        let args = vec!["registry".into(), "--config".into(), path.into_os_string()];
+        let mut registry = Self { name: "registry".to_owned(), address, args, envs: Vec::new(), child: None };
+        registry.launch(program, out)?;
+        Ok(registry)
+    }
+
     /// Starts the program again on the same address; its log goes on in the same file.
     ///
     /// # Errors
@@ -79,7 +105,7 @@
         let log = File::options().create(true).append(true).open(&log);
         let log = log.map_err(|e| format!("cannot open the log of {}: {e}", self.name))?;
         let mut command = Command::new(program);
-        command.arg("proxy").env("EDGE_CONFIG", &self.config).env("TMPDIR", &self.home);
+        command.args(&self.args).envs(self.envs.iter().map(|(k, v)| (k, v)));
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
         self.child = Some(child.map_err(|e| format!("cannot start {}: {e}", self.name))?);
         Ok(())
@@ -109,7 +135,21 @@
     }
 }
 
-impl Drop for Proxy {
+/// The list service's configuration file: where it listens and its members.
+///
+/// # Errors
+/// When the file can't be written.
+pub fn write_members(path: &Path, listen: SocketAddr, members: &[Member]) -> Result<(), String> {
+    #[derive(serde::Serialize)]
+    struct File<'a> {
+        listen: SocketAddr,
+        member: &'a [Member],
+    }
+    let text = toml::to_string(&File { listen, member: members }).map_err(|e| format!("the members: {e}"))?;
+    fs::write(path, text).map_err(|e| format!("cannot write {}: {e}", path.display()))
+}
+
+impl Drop for Process {
     fn drop(&mut self) {
         self.end();
     }
--- a/src/rig/scenario.rs
+++ b/src/rig/scenario.rs
@@ -96,7 +96,8 @@
     pub at_s: Spanned<f64>,
     /// What happens.
     pub action: Action,
-    /// To whom: `proxy-N`, `backend-N`, or `zone-NAME` for all backends of a zone.
+    /// To whom: `proxy-N`, `backend-N`, `zone-NAME` for all backends of a zone, or `list` for the list service
+    /// (its process or the relay before it).
     pub target: Spanned<String>,
     /// For `delay`: milliseconds added to every chunk each way.
     #[serde(default)]
@@ -152,6 +153,11 @@
     pub fn on_proxy(self) -> bool {
         matches!(self, Self::Kill | Self::Term | Self::Stop | Self::Cont | Self::Restart)
     }
+
+    /// Whether the relay before a process carries it out.
+    pub fn on_relay(self) -> bool {
+        matches!(self, Self::BlackHole | Self::Delay | Self::Refuse | Self::Reset | Self::Heal)
+    }
 }
 
 /// Why a scenario can't run.
@@ -298,6 +304,7 @@
             Some(Target::Proxy(n)) => fault.action.on_proxy() && n < self.proxies.len(),
             Some(Target::Backend(n)) => !fault.action.on_proxy() && n < self.backend_count(),
             Some(Target::Zone(name)) => !fault.action.on_proxy() && self.zone(name).is_some(),
+            Some(Target::List) => fault.action.on_proxy() || fault.action.on_relay(),
             None => false,
         };
         if known {
@@ -316,6 +323,8 @@
     Backend(usize),
     /// `zone-NAME`: every backend of that zone.
     Zone(&'a str),
+    /// `list`: the list service.
+    List,
 }
 
 impl<'a> Target<'a> {
@@ -327,6 +336,9 @@
         if let Some(n) = text.strip_prefix("backend-") {
             return n.parse().ok().map(Self::Backend);
         }
+        if text == "list" {
+            return Some(Self::List);
+        }
         text.strip_prefix("zone-").map(Self::Zone)
     }
 }
--- a/tests/rig.rs
+++ b/tests/rig.rs
@@ -158,3 +158,16 @@
         );
     }
 }
+
+#[test]
+fn the_proxies_serve_on_their_last_list_while_the_list_service_is_gone() {
+    let scenario =
+        fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios/list-outage.toml")).unwrap();
+    let (summary, run) = summary("outage", &scenario, "list-outage");
+    let seconds = summary["per_second"].as_array().expect("seconds");
+    for (s, second) in seconds.iter().enumerate().take(11) {
+        assert!(share_answered(second) >= 0.95, "second {s}: {second}");
+    }
+    let log = fs::read_to_string(run.join("registry.log")).expect("the list service's log");
+    assert_eq!(log.matches("registry listens on").count(), 2, "it was started again: {log}");
+}
