Say every five seconds how far a rig run has come

Change: the request driver writes a line to standard error every five seconds of the load: the time, the requests sent, and how many have come back answered so far. Rejected: a line per fault only (the timeline's), which says nothing on a run without faults.

--- a/src/rig/load.rs
+++ b/src/rig/load.rs
@@ -120,12 +120,17 @@
     let mut rng = fastrand::Rng::with_seed(clients.seed);
     let mut tasks = Vec::new();
     let mut due = Duration::ZERO;
+    let mut next_line = PROGRESS;
     for n in 0..clients.most {
         due += Duration::from_secs_f64(-(1.0 - rng.f64()).ln() / clients.rate);
         if due >= clients.duration {
             break;
         }
         tokio::time::sleep_until((started + due).into()).await;
+        if due >= next_line {
+            progress(due, n, &records);
+            next_line += PROGRESS;
+        }
         let keyed = rng.f64() < clients.keyed_share;
         let id = format!("{:016x}", clients.seed.rotate_left(17) ^ n);
         let (client, front, records) = (client.clone(), Arc::clone(&front), Arc::clone(&records));
@@ -150,6 +155,16 @@
     Broken,
 }
 
+/// How often a line says how far a run has come.
+const PROGRESS: Duration = Duration::from_secs(5);
+
+/// A line on standard error: the time, the requests sent, and the share of those that have come back answered.
+fn progress(due: Duration, sent: u64, records: &Mutex<Vec<Record>>) {
+    let records = records.lock().unwrap_or_else(|e| e.into_inner());
+    let answered = records.iter().filter(|r| matches!(r.outcome, Outcome::Served | Outcome::Late)).count();
+    eprintln!("rig: {:6.2} s  {sent} sent, {answered} answered so far", due.as_secs_f64());
+}
+
 async fn send(
     client: &Client<HttpConnector, Full<Bytes>>,
     front: &Front,
