Read percentiles in one place, keep the run's program in the cluster, drop a dead call

Need: reading the change again showed three things made twice or left over: the rig's report and the relay measurement each built an hdrhistogram and turned it into p50/p99/p999 with their own closure; the timeline carried the program and the run's folder as parameters through three functions although the cluster already held the folder; and Store::set_phase had no caller once the rig drained members through the registry's file and SIGHUP.

Change: Percentiles::histogram and Percentiles::of serve both (the relay's histogram now has the report's bounds, 1 µs to an hour, three figures); Cluster holds the program beside the folder and restarts processes itself; Store::set_phase is deleted. No assertion or bound of a test changes.

--- a/src/registry/store.rs
+++ b/src/registry/store.rs
@@ -93,18 +93,6 @@
         Some(next)
     }
 
-    /// Sets one member's phase (`active` or `leaving`) at a new revision; `false` if there is no such member or
-    /// it has that phase already.
-    pub fn set_phase(&mut self, id: &str, phase: &str) -> bool {
-        let Some(member) = self.members.get(id) else { return false };
-        if member.phase == phase {
-            return false;
-        }
-        let mut wanted: Vec<_> = self.members.values().cloned().collect();
-        wanted.iter_mut().filter(|m| m.id == id).for_each(|m| m.phase = phase.to_owned());
-        self.replace(wanted).is_some()
-    }
-
     /// The answer to `GET /discovery/hosts?after=AFTER`: the entries changed since `after`, or the whole list
     /// with `complete: true` when `after` is 0, newer than the revision in force, or older than the changes kept.
     pub fn since(&self, after: u64) -> Value {
--- a/src/rig/mod.rs
+++ b/src/rig/mod.rs
@@ -45,6 +45,9 @@
     list_relay: Relay,
     /// The members as the list service's file has them.
     members: Mutex<Vec<Member>>,
+    /// The program whose processes these are, for restarts.
+    program: std::path::PathBuf,
+    /// The folder of the run: configurations, logs, the list service's file.
     out: std::path::PathBuf,
     proxies: Mutex<Vec<Proxy>>,
 }
@@ -106,8 +109,9 @@
     for proxy in &proxies {
         come_up(proxy.address, "/up", &proxy.name, START_PATIENCE).await?;
     }
-    let (registry, members, out) = (Mutex::new(registry), Mutex::new(members), out.to_owned());
-    Ok(Cluster { backends, relays, zones, registry, list_relay, members, out, proxies: Mutex::new(proxies) })
+    let (registry, members, proxies) = (Mutex::new(registry), Mutex::new(members), Mutex::new(proxies));
+    let (program, out) = (program.to_owned(), out.to_owned());
+    Ok(Cluster { backends, relays, zones, registry, list_relay, members, program, out, proxies })
 }
 
 /// Waits until `GET path` answers 200, as the front does with `/up` before it takes a proxy in.
@@ -152,13 +156,7 @@
     let started = Instant::now();
     let end = started + clients.duration;
     tokio::spawn(Arc::clone(&front).probe(Duration::from_millis(250), end));
-    let timeline = tokio::spawn(timeline(
-        Arc::clone(&cluster),
-        scenario_faults(scenario),
-        program.into(),
-        out.into(),
-        started,
-    ));
+    let timeline = tokio::spawn(timeline(Arc::clone(&cluster), scenario_faults(scenario), started));
     let records = load::drive(front, clients, started).await;
     let happened = timeline.await.map_err(|e| format!("the timeline ended: {e}"))?;
     for proxy in cluster.proxies.lock().unwrap_or_else(|e| e.into_inner()).iter_mut() {
@@ -213,41 +211,30 @@
 }
 
 /// Carries out the faults at their times.
-async fn timeline(
-    cluster: Arc<Cluster>,
-    planned: Vec<Planned>,
-    program: std::path::PathBuf,
-    out: std::path::PathBuf,
-    started: Instant,
-) -> Vec<Done> {
+async fn timeline(cluster: Arc<Cluster>, planned: Vec<Planned>, started: Instant) -> Vec<Done> {
     let mut happened = Vec::new();
     for fault in planned {
         tokio::time::sleep_until((started + fault.at).into()).await;
-        let touched = apply(&cluster, &fault, &program, &out);
+        let touched = apply(&cluster, &fault);
         let at = started.elapsed().as_secs_f64();
-        eprintln!("rig: {at:6.2} s  {:?} {}", fault.action, fault.target);
         let what = format!("{:?} {}", fault.action, fault.target);
+        eprintln!("rig: {at:6.2} s  {what}");
         happened.push(Done { at, action: fault.action, what, touched });
     }
     happened
 }
 
 /// Does one fault now; gives the backends it touched.
-fn apply(cluster: &Cluster, fault: &Planned, program: &Path, out: &Path) -> Vec<usize> {
+fn apply(cluster: &Cluster, fault: &Planned) -> Vec<usize> {
     let backends: Vec<usize> = match Target::parse(&fault.target) {
         Some(Target::Proxy(n)) => {
             let mut proxies = cluster.proxies.lock().unwrap_or_else(|e| e.into_inner());
-            signal(&mut proxies[n], fault.action, program, out);
+            cluster.signal(&mut proxies[n], fault.action);
             return Vec::new();
         }
         Some(Target::List) => {
             if fault.action.on_proxy() {
-                signal(
-                    &mut cluster.registry.lock().unwrap_or_else(|e| e.into_inner()),
-                    fault.action,
-                    program,
-                    out,
-                );
+                cluster.signal(&mut cluster.registry.lock().unwrap_or_else(|e| e.into_inner()), fault.action);
             } else {
                 cluster.list_relay.set(relay_mode(fault).unwrap_or(Mode::Pass));
             }
@@ -285,23 +272,23 @@
     }
 }
 
-/// Signals a process of the rig, or starts it again on its address.
-fn signal(process: &mut Process, action: Action, program: &Path, out: &Path) {
-    match action {
-        Action::Kill => process.signal(Signal::KILL),
-        Action::Term => process.signal(Signal::TERM),
-        Action::Stop => process.signal(Signal::STOP),
-        Action::Cont => process.signal(Signal::CONT),
-        Action::Restart if !process.running() => {
-            if let Err(error) = process.launch(program, out) {
-                eprintln!("rig: {error}");
+impl Cluster {
+    /// Signals a process of the rig, or starts it again on its address.
+    fn signal(&self, process: &mut Process, action: Action) {
+        match action {
+            Action::Kill => process.signal(Signal::KILL),
+            Action::Term => process.signal(Signal::TERM),
+            Action::Stop => process.signal(Signal::STOP),
+            Action::Cont => process.signal(Signal::CONT),
+            Action::Restart if !process.running() => {
+                if let Err(error) = process.launch(&self.program, &self.out) {
+                    eprintln!("rig: {error}");
+                }
             }
+            _ => {}
         }
-        _ => {}
     }
-}
 
-impl Cluster {
     /// Gives a member a phase through the list service: its file is written anew and it is told by SIGHUP.
     fn set_phase(&self, id: &str, phase: &str) {
         let mut members = self.members.lock().unwrap_or_else(|e| e.into_inner());
--- a/src/rig/overhead.rs
+++ b/src/rig/overhead.rs
@@ -5,7 +5,6 @@
 use super::relay::Relay;
 use super::report::Percentiles;
 use bytes::Bytes;
-use hdrhistogram::Histogram;
 use http_body_util::{BodyExt, Empty};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -45,18 +44,13 @@
     let backend = Backend::start(host, traits, 1).await.map_err(|e| format!("backend: {e}"))?;
     let relay = Relay::start(host, backend.address).await.map_err(|e| format!("relay: {e}"))?;
     let client: Client<_, Empty<Bytes>> = Client::builder(TokioExecutor::new()).build(HttpConnector::new());
-    let new = || Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).expect("fixed valid bounds");
-    let (mut direct, mut relayed) = (new(), new());
+    let (mut direct, mut relayed) = (Percentiles::histogram(), Percentiles::histogram());
     for n in 0..requests {
         for (address, histogram) in [(backend.address, &mut direct), (relay.address, &mut relayed)] {
             histogram.saturating_record(ask(&client, address, n).await?.as_micros().max(1) as u64);
         }
     }
-    let sum = |h: &Histogram<u64>| {
-        let ms = |q: f64| h.value_at_quantile(q) as f64 / 1e3;
-        Percentiles { p50_ms: ms(0.5), p99_ms: ms(0.99), p999_ms: ms(0.999), max_ms: h.max() as f64 / 1e3 }
-    };
-    Ok(Overhead { requests, direct: sum(&direct), relayed: sum(&relayed) })
+    Ok(Overhead { requests, direct: Percentiles::of(&direct), relayed: Percentiles::of(&relayed) })
 }
 
 async fn ask(
--- a/src/rig/report.rs
+++ b/src/rig/report.rs
@@ -61,6 +61,19 @@
     pub max_ms: f64,
 }
 
+impl Percentiles {
+    /// An empty histogram of latencies in microseconds: three significant figures from 1 µs to an hour.
+    pub fn histogram() -> Histogram<u64> {
+        Histogram::new_with_bounds(1, 3_600_000_000, 3).expect("fixed valid bounds")
+    }
+
+    /// The percentiles of a histogram of latencies in microseconds.
+    pub fn of(histogram: &Histogram<u64>) -> Self {
+        let ms = |q: f64| histogram.value_at_quantile(q) as f64 / 1e3;
+        Self { p50_ms: ms(0.5), p99_ms: ms(0.99), p999_ms: ms(0.999), max_ms: histogram.max() as f64 / 1e3 }
+    }
+}
+
 /// A fault as it happened.
 #[derive(Clone, Debug, Serialize)]
 pub struct Happened {
@@ -118,8 +131,7 @@
     let mut total = Tally::default();
     let mut classes = [("read".to_owned(), Tally::default()), ("submit".to_owned(), Tally::default())];
     let mut per_second: Vec<Tally> = Vec::new();
-    // Three significant figures from 1 µs to an hour.
-    let mut histogram = Histogram::<u64>::new_with_bounds(1, 3_600_000_000, 3).expect("fixed valid bounds");
+    let mut histogram = Percentiles::histogram();
     for record in records {
         total.add(record.outcome);
         classes[usize::from(record.keyed)].1.add(record.outcome);
@@ -132,13 +144,7 @@
             histogram.saturating_record(record.latency_us.max(1));
         }
     }
-    let ms = |q: f64| histogram.value_at_quantile(q) as f64 / 1e3;
-    let latency = Percentiles {
-        p50_ms: ms(0.5),
-        p99_ms: ms(0.99),
-        p999_ms: ms(0.999),
-        max_ms: histogram.max() as f64 / 1e3,
-    };
+    let latency = Percentiles::of(&histogram);
     let lost = records.iter().filter(|r| matches!(r.outcome, Outcome::Lost));
     Summary {
         scenario: scenario.to_owned(),
