--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod registry;
 pub mod rig;
 mod state;
+pub mod store;
 pub mod wire;
