--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -37,6 +37,10 @@
 const INITIAL_LIMIT: f64 = 1.5;
 const MIN_LIMIT: f64 = 0.8;
 const MAX_LIMIT: f64 = 64.0;
+/// A limit read back from disk counts half as much above the start for each this long that it has lain there
+/// (exponential decay); after `RECALL_HORIZON` half-lives it counts for nothing and the start is cold.
+const RECALL_HALF_LIFE: Micros = 60 * SECOND;
+const RECALL_HORIZON: f64 = 8.0;
 /// A bad sample (an error, say), and the most that any sample counts, as multiples of Lmax.
 const BAD_SAMPLE: f64 = 2.0;
 const SAMPLE_CAP: f64 = 3.0;
@@ -243,6 +247,24 @@
         self.recalled = learnt.limits.iter().copied().filter(|(_, limit)| sound(*limit)).collect();
     }
 
+    /// Goes on from what was learnt `age` microseconds ago and kept on disk: each limit moves towards the
+    /// start's by half for every `RECALL_HALF_LIFE`, latencies are kept as they were, and what is older than
+    /// `RECALL_HORIZON` half-lives is not recalled at all. Servers not listed again are never used.
+    pub fn recall_aged(&mut self, learnt: &Learnt, age: Micros) {
+        let half_lives = age as f64 / RECALL_HALF_LIFE as f64;
+        if half_lives > RECALL_HORIZON {
+            return;
+        }
+        let weight = 0.5f64.powf(half_lives);
+        let aged = |limit: f64| INITIAL_LIMIT + (limit - INITIAL_LIMIT) * weight;
+        let mut learnt = learnt.clone();
+        for kind in &mut learnt.kinds {
+            (kind.limit, kind.served) = (aged(kind.limit), kind.served * weight);
+        }
+        learnt.limits.iter_mut().for_each(|(_, limit)| *limit = aged(*limit));
+        self.recall(&learnt);
+    }
+
     // ---- Settings ----
 
     /// The numbers of the classes in force, in the order of the settings.
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -72,6 +72,9 @@
     pub admin: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
+    /// Where what the module learns is kept through a crash (`state_dir`, or `GATESTAGE_STATE_DIR`); `None`:
+    /// nowhere, and every start without a predecessor is cold, as before this setting existed.
+    pub state_dir: Option<PathBuf>,
     /// The list of backends as last known, in discovery's form.
     pub known: Value,
     /// The module's settings.
@@ -106,6 +109,8 @@
     limits: RawLimits,
     #[serde(default)]
     known: Value,
+    #[serde(default)]
+    state_dir: Option<PathBuf>,
     settings: Value,
 }
 
@@ -208,6 +213,7 @@
                 None => None,
             },
             seed: seed(&raw.seed),
+            state_dir: raw.state_dir.or_else(|| variable("GATESTAGE_STATE_DIR").map(PathBuf::from)),
             known: raw.known,
             settings,
             names: Names {
@@ -229,7 +235,7 @@
 fn keys(text: &[u8]) -> Result<Value, ConfigError> {
     let mut keys: Value = serde_json::from_slice(text).map_err(ConfigError::Malformed)?;
     if let Some(object) = keys.as_object_mut() {
-        for name in ["known", "seed", "admin_addr"] {
+        for name in ["known", "seed", "admin_addr", "state_dir"] {
             object.remove(name);
         }
     }
--- a/src/proxy/handover.rs
+++ b/src/proxy/handover.rs
@@ -15,6 +15,7 @@
 use super::driver::{Handle, Message};
 use super::log;
 use crate::api::Learnt;
+use crate::store::Store;
 use rustc_hash::FxHashMap;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
@@ -149,6 +150,88 @@
     pub learnt: Learnt,
 }
 
+/// The version of [`Legacy`] as the checked store keeps it; a snapshot of another is passed over.
+const LEGACY_VERSION: u16 = 1;
+/// How often what the module has learnt is stored while the proxy serves.
+const KEEP_EVERY: Duration = Duration::from_secs(2);
+/// The name of the proxy's snapshots in `state_dir`.
+const LEARNT: &str = "learnt";
+
+/// Keeps the [`Legacy`] on disk through the checked store, so that a start after a crash or a power loss goes on
+/// from what was learnt: every 2 s (`KEEP_EVERY`) and once more at SIGTERM.
+pub struct Keeper {
+    store: Store,
+    handle: Handle,
+    numbers: Rc<RefCell<Numbers>>,
+    /// Whether the last write failed, so that a failure that lasts is logged once and its end once.
+    failing: Cell<bool>,
+}
+
+impl Keeper {
+    /// Snapshots named `learnt` in `folder`.
+    ///
+    /// # Errors
+    /// None for this fixed name; kept for the store's check.
+    pub fn new(folder: &Path, handle: Handle, numbers: Rc<RefCell<Numbers>>) -> io::Result<Rc<Self>> {
+        let store = Store::new(folder, LEARNT, LEGACY_VERSION)?;
+        Ok(Rc::new(Self { store, handle, numbers, failing: Cell::new(false) }))
+    }
+
+    /// Stores what the module has learnt now; a failure (full disk, folder not writable) is logged and the next
+    /// turn tries again.
+    pub async fn keep_now(&self) {
+        let (asked, learnt) = oneshot::channel();
+        self.handle.tell(Message::Learnt(asked));
+        let Ok(learnt) = learnt.await else { return };
+        let names = self.numbers.borrow().names().into_iter().map(str::to_owned).collect();
+        match self.store.write(&Legacy { names, learnt }, wall_ms()) {
+            Ok(_) if self.failing.replace(false) => log(format_args!("state: stored again")),
+            Ok(_) => {}
+            Err(error) if !self.failing.replace(true) => log(format_args!("state: {error}; trying again")),
+            Err(_) => {}
+        }
+    }
+
+    /// Stores what is learnt every 2 s (`KEEP_EVERY`), for as long as the proxy runs.
+    pub async fn keep(self: Rc<Self>) {
+        let mut every = interval(KEEP_EVERY);
+        every.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        every.tick().await;
+        loop {
+            every.tick().await;
+            self.keep_now().await;
+        }
+    }
+}
+
+/// The newest whole snapshot in `folder` and its age in microseconds, with a log line that says which was taken
+/// and why any newer one was not; `None` is a cold start.
+///
+/// # Errors
+/// None for the fixed name of the proxy's snapshots; kept for the store's check of names.
+pub fn restore(folder: &Path) -> io::Result<Option<(Legacy, u64)>> {
+    let store = Store::new(folder, LEARNT, LEGACY_VERSION)?;
+    let restored = store.read::<Legacy>();
+    for (path, why) in &restored.rejected {
+        log(format_args!("state: passed over {}: {why}", path.display()));
+    }
+    let Some(snapshot) = restored.snapshot else {
+        log(format_args!("state: cold start, no whole snapshot in {}", folder.display()));
+        return Ok(None);
+    };
+    let age_ms = wall_ms().saturating_sub(snapshot.written_ms);
+    let (generation, names) = (snapshot.generation, snapshot.value.names.len());
+    log(format_args!("state: restored generation {generation}, {age_ms} ms old, {names} backends named"));
+    Ok(Some((snapshot.value, age_ms * 1_000)))
+}
+
+/// Milliseconds since the Unix epoch: a snapshot's age must count across processes and restarts, which the
+/// proxy's own clock does not.
+fn wall_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// The process that this one replaces.
 pub struct Predecessor {
     /// What it has handed on.
--- a/src/proxy/program.rs
+++ b/src/proxy/program.rs
@@ -10,7 +10,7 @@
 use crate::proxy::discovery::{Numbers, Translator, Watcher};
 use crate::proxy::drain::Drain;
 use crate::proxy::driver::{Driver, Handle, Limits, Message};
-use crate::proxy::handover::{self, Bans, Company, Held, Predecessor};
+use crate::proxy::handover::{self, Bans, Company, Held, Keeper, Legacy, Predecessor};
 use crate::proxy::log;
 use std::cell::{Cell, RefCell};
 use std::env;
@@ -106,13 +106,25 @@
         transfers.clone(),
     );
     let mut balancer = Balancer::new(settings.clone(), config.seed, clock.now())?;
-    predecessor.iter().for_each(|p| balancer.recall(&p.legacy.learnt));
     let (subscribe, subscriptions) = mpsc::unbounded_channel();
+    let numbers = Rc::new(RefCell::new(Numbers::default()));
+    // What a predecessor hands over is newer than any snapshot, which is read only where none did.
+    let legacy: Option<(&Legacy, u64)> = predecessor.as_ref().map(|p| (&p.legacy, 0));
+    let restored = match (&legacy, &config.state_dir) {
+        (None, Some(folder)) => handover::restore(folder)?,
+        _ => None,
+    };
+    let legacy = legacy.or(restored.as_ref().map(|(legacy, age)| (legacy, *age)));
+    if let Some((legacy, age)) = legacy {
+        balancer.recall_aged(&legacy.learnt, age);
+        legacy.names.iter().for_each(|name| _ = numbers.borrow_mut().number(name));
+    }
     let (driver, handle) = Driver::new(balancer, clock, Rc::clone(&fleet), limits, subscribe);
+    let keeper = match &config.state_dir {
+        Some(folder) => Some(Keeper::new(folder, handle.clone(), Rc::clone(&numbers))?),
+        None => None,
+    };
     let held = Rc::new(Cell::new(false));
-    let numbers = Rc::new(RefCell::new(Numbers::default()));
-    let listed = predecessor.iter().flat_map(|p| &p.legacy.names);
-    listed.for_each(|name| _ = numbers.borrow_mut().number(name));
     let translator = Translator::new(clock, &config.names, Rc::clone(&numbers));
     let subscriptions = asked.then_some(subscriptions);
     let mut watcher =
@@ -133,6 +145,7 @@
     let (discovery, moves) = watch::channel((config.discovery, config.names.clone()));
     tokio::task::spawn_local(watcher.run(moves));
     tokio::task::spawn_local(Rc::clone(&fleet).sweep());
+    keeper.iter().for_each(|keeper| _ = tokio::task::spawn_local(Rc::clone(keeper).keep()));
     let accept = tokio::task::spawn_local(Rc::clone(&clients).accept(listener));
     if let Some((address, operations)) = operations {
         let listener = listen(address, false).map_err(|e| format!("cannot listen on {address}: {e}"))?;
@@ -150,6 +163,9 @@
                 log(format_args!("SIGHUP changes nothing: {error}"));
             },
             _ = signals.stop.recv() => {
+                if let Some(keeper) = &keeper {
+                    keeper.keep_now().await;
+                }
                 let replaced = company.has_successor();
                 if replaced {
                     accept.abort();
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -1201,3 +1201,56 @@
         ("POST /submit?key=7f3a HTTP/1.1", b"abcde".as_slice())
     );
 }
+
+/// The snapshot files in a proxy's `state_dir`, oldest first.
+fn snapshots(folder: &std::path::Path) -> Vec<std::path::PathBuf> {
+    let mut found: Vec<_> = std::fs::read_dir(folder).map_or_else(
+        |_| Vec::new(),
+        |entries| {
+            entries
+                .map(|e| e.expect("an entry").path())
+                .filter(|p| p.extension().is_some_and(|x| x == "snap"))
+                .collect()
+        },
+    );
+    found.sort();
+    found
+}
+
+#[test]
+fn a_killed_proxy_goes_on_from_its_snapshot_and_passes_over_a_damaged_one() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("fine"));
+    let members = [entry("s-1", backend.address, "active", 0)];
+    let state = private_dir("kept").join("state");
+    let mut config = config("kept", &discovery);
+    config["state_dir"] = serde_json::json!(state);
+    let mut first = Proxy::start_with("kept", config.clone());
+    assert!(first.next_line("state:").contains("cold start"), "nothing was kept before the first start");
+    discovery.post(true, &members);
+    for id in 0..20 {
+        assert_eq!(first.client().ask(&request("read", &id.to_string(), "")).status(), 200);
+    }
+    let since = std::time::Instant::now();
+    while snapshots(&state).len() < 2 {
+        assert!(since.elapsed() < std::time::Duration::from_secs(20), "two snapshots within 20 s");
+        std::thread::sleep(std::time::Duration::from_millis(100));
+    }
+    first.child.kill().expect("it runs");
+    first.wait();
+    // A power loss that damaged the newest: the one before it is taken, and the log says why.
+    let newest = snapshots(&state).pop().expect("a snapshot");
+    let mut bytes = std::fs::read(&newest).expect("it reads");
+    *bytes.last_mut().expect("a payload") ^= 1;
+    std::fs::write(&newest, bytes).expect("it writes");
+    let mut second = Proxy::start_with("kept", config.clone());
+    let passed = second.next_line("state:");
+    assert!(passed.contains("passed over") && passed.contains("checksum"), "{passed}");
+    let restored = second.next_line("state:");
+    assert!(restored.contains("restored generation") && restored.contains("1 backends named"), "{restored}");
+    discovery.post(true, &members);
+    assert_eq!(second.client().ask(&request("read", "after", "")).status(), 200);
+    second.terminate();
+    assert_eq!(second.wait().code(), Some(0));
+    assert!(!snapshots(&state).is_empty(), "SIGTERM stores what was learnt");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -514,14 +514,19 @@
         }
     }
     let learnt = old.balancer.learnt();
-    let room = |learnt: Option<&Learnt>| {
+    let room_after = |learnt: Option<&Learnt>, age: Micros| {
         let mut new = Proxy::new(two_kinds.clone(), []);
-        learnt.into_iter().for_each(|learnt| new.balancer.recall(learnt));
+        learnt.into_iter().for_each(|learnt| new.balancer.recall_aged(learnt, age));
         new.list(Membership::Full(&listed()));
         (0..100).for_each(|id| _ = new.request(request(id, 0)));
         [0, 2, 4].map(|server| new.in_flight(server))
     };
+    let room = |learnt| room_after(learnt, 0);
     let (fresh, taught) = (room(None), room(Some(&learnt)));
+    // Kept on disk: a minute's rest halves what is above the start, and ten minutes leave a cold start.
+    let rested = room_after(Some(&learnt), 60 * SECOND);
+    assert!(rested[0] < taught[0] && rested[0] > fresh[0], "a minute old: {rested:?}, {taught:?}, {fresh:?}");
+    assert_eq!(room_after(Some(&learnt), 600 * SECOND), fresh, "ten minutes old");
     assert!(taught[0] > fresh[0] * 2, "what the old one sent a quick server: {taught:?}, {fresh:?}");
     assert!(taught[1] < taught[0], "and a slow one: {taught:?}");
     assert_eq!(serde_json::from_value::<Learnt>(serde_json::json!(learnt)).expect("it reads"), learnt);
