--- a/src/rig/procs.rs
+++ b/src/rig/procs.rs
@@ -67,9 +67,15 @@
             "seed": format!("{:016x}", scenario.seed.wrapping_add(me as u64)),
             "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 1024},
             "known": known, "settings": settings(scenario, me, zone)});
+        let home = out.join(format!("{name}.tmp"));
+        let mut config = config;
+        // Each run begins cold; only a restart within the run goes on from a snapshot.
+        let _ = fs::remove_dir_all(home.join("state"));
+        if scenario.proxies[me].keep_state {
+            config["state_dir"] = json!(home.join("state"));
+        }
         let path = out.join(format!("{name}.json"));
         fs::write(&path, config.to_string()).map_err(|e| format!("cannot write {}: {e}", path.display()))?;
-        let home = out.join(format!("{name}.tmp"));
         fs::create_dir_all(&home).map_err(|e| format!("cannot make {}: {e}", home.display()))?;
         let envs = vec![("EDGE_CONFIG", path), ("TMPDIR", home)];
         let mut proxy = Self { name, address, args: vec!["proxy".into()], envs, child: None };
--- a/src/rig/scenario.rs
+++ b/src/rig/scenario.rs
@@ -48,6 +48,9 @@
 pub struct ProxySpec {
     /// The zone it stands in.
     pub zone: Spanned<String>,
+    /// Whether it keeps what it learns in a `state_dir` of its own, so that a restart goes on from it.
+    #[serde(default)]
+    pub keep_state: bool,
 }
 
 /// A group of stand-in backends that behave alike.
