Test on the rig that a killed proxy with a state_dir restores and one without starts cold

Change: a rig test runs proxy-restart-kept (9 s): proxy-1 logs a cold start at its first start and "restored generation N ... 4 backends named" after the kill and restart; proxy-2, without a state_dir, logs nothing of state; seconds 6 to 8 answer 95% or more. Without keep_state the scenario is refused by its check and the test fails.

--- a/tests/rig.rs
+++ b/tests/rig.rs
@@ -171,3 +171,21 @@
     let log = fs::read_to_string(run.join("registry.log")).expect("the list service's log");
     assert_eq!(log.matches("registry listens on").count(), 2, "it was started again: {log}");
 }
+
+#[test]
+fn a_proxy_restarted_after_a_kill_goes_on_from_its_snapshot_and_one_without_starts_cold() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios/proxy-restart-kept.toml");
+    let scenario =
+        fs::read_to_string(path).expect("a shipped scenario").replace("duration_s = 12", "duration_s = 9");
+    let (summary, run) = summary("kept", &scenario, "proxy-restart-kept");
+    let log = |proxy: &str| fs::read_to_string(run.join(format!("{proxy}.log"))).expect("a log");
+    let kept = log("proxy-1");
+    let lines: Vec<_> = kept.lines().filter(|l| l.contains("state:")).collect();
+    assert!(lines.len() == 2 && lines[0].contains("cold start"), "{lines:?}");
+    assert!(lines[1].contains("restored generation") && lines[1].contains("4 backends named"), "{lines:?}");
+    assert!(!log("proxy-2").contains("state:"), "a proxy without a state_dir keeps nothing");
+    let seconds = summary["per_second"].as_array().expect("seconds");
+    for (s, second) in seconds.iter().enumerate().take(9).skip(6) {
+        assert!(share_answered(second) >= 0.95, "second {s}: {second}");
+    }
+}
