--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -40,6 +40,8 @@
 pub const PAYLOAD_CAP: u32 = 64 << 20;
 /// How many generations are kept: the newest, and one to fall back on.
 pub const KEPT: usize = 2;
+/// How old a temporary file must be to be taken for one that a killed writer left.
+const STALE_TEMPORARY: std::time::Duration = std::time::Duration::from_secs(60);
 
 /// A folder of snapshots of one kind of value.
 #[derive(Debug)]
@@ -315,11 +317,23 @@
         Ok(found)
     }
 
-    /// Removes all but the newest [`KEPT`]; one that cannot be removed now is removed by a later write.
+    /// Removes all but the newest [`KEPT`], and temporary files that a writer killed mid-write left over a
+    /// minute ago (a write takes milliseconds, and the one in hand is younger); what cannot be removed now is
+    /// removed by a later write.
     fn prune(&self) {
         for (_, path) in self.generations().unwrap_or_default().into_iter().skip(KEPT) {
             let _ = fs::remove_file(path);
         }
+        let Ok(entries) = fs::read_dir(&self.folder) else { return };
+        let prefix = format!("{}.", self.name);
+        for entry in entries.flatten() {
+            let name = entry.file_name();
+            let ours = name.to_str().is_some_and(|n| n.starts_with(&prefix) && n.ends_with(".tmp"));
+            let age = entry.metadata().and_then(|m| m.modified()).ok().and_then(|t| t.elapsed().ok());
+            if ours && age.is_some_and(|age| age > STALE_TEMPORARY) {
+                let _ = fs::remove_file(entry.path());
+            }
+        }
     }
 }
 
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -50,6 +50,25 @@
     assert_eq!(names, ["learnt.00000000000000000004.snap", "learnt.00000000000000000005.snap"]);
 }
 
+#[test]
+fn a_temporary_file_that_a_killed_writer_left_is_removed_by_a_later_write() {
+    let (store, _, _) = two_generations("stale");
+    let stale = store.folder().join("learnt.999999.tmp");
+    let fresh = store.folder().join("learnt.999998.tmp");
+    let other = store.folder().join("bans.999999.tmp");
+    for path in [&stale, &fresh, &other] {
+        fs::write(path, b"half a snapshot").unwrap();
+    }
+    let long_ago = std::time::SystemTime::now() - std::time::Duration::from_secs(3_600);
+    for path in [&stale, &other] {
+        fs::File::options().write(true).open(path).unwrap().set_modified(long_ago).unwrap();
+    }
+    store.write(&learnt(3.0), 30).expect("stored");
+    assert!(!stale.exists(), "an hour-old temporary file of this store is removed");
+    assert!(fresh.exists(), "a young one may be a write under way in another process");
+    assert!(other.exists(), "another store's files are left alone");
+}
+
 #[test]
 fn a_power_loss_at_any_byte_falls_back_to_the_generation_before() {
     let (store, newest, bytes) = two_generations("cut");
