Ask the driver for what it learnt in one place, and open the proxy's store once

Need: reading the change again, Keeper::keep_now repeated Company::give's request to the driver for Learnt and its gathering of the listed names line for line; the store was built twice for the same state_dir (once to restore, once for the Keeper); run() carried a typed Option of borrowed pairs only to combine two sources; and the rig rebound its config as mutable.

Behaviour is unchanged.

--- a/src/proxy/handover.rs
+++ b/src/proxy/handover.rs
@@ -168,22 +168,18 @@
 }
 
 impl Keeper {
-    /// Snapshots named `learnt` in `folder`.
-    ///
-    /// # Errors
-    /// None for this fixed name; kept for the store's check.
-    pub fn new(folder: &Path, handle: Handle, numbers: Rc<RefCell<Numbers>>) -> io::Result<Rc<Self>> {
-        let store = Store::new(folder, LEARNT, LEGACY_VERSION)?;
-        Ok(Rc::new(Self { store, handle, numbers, failing: Cell::new(false) }))
+    /// Keeps into `store` (see [`state_store`]) what the driver behind `handle` learns.
+    #[must_use]
+    pub fn new(store: Store, handle: Handle, numbers: Rc<RefCell<Numbers>>) -> Rc<Self> {
+        Rc::new(Self { store, handle, numbers, failing: Cell::new(false) })
     }
 
     /// Stores what the module has learnt now; a failure (full disk, folder not writable) is logged and the next
     /// turn tries again.
     pub async fn keep_now(&self) {
-        let (asked, learnt) = oneshot::channel();
-        self.handle.tell(Message::Learnt(asked));
-        let Ok(learnt) = learnt.await else { return };
-        let names = self.numbers.borrow().names().into_iter().map(str::to_owned).collect();
+        // A driver that has ended leaves nothing worth storing over what is stored.
+        let Some(learnt) = learnt_now(&self.handle).await else { return };
+        let names = named(&self.numbers);
         match self.store.write(&Legacy { names, learnt }, wall_ms()) {
             Ok(_) if self.failing.replace(false) => log(format_args!("state: stored again")),
             Ok(_) => {}
@@ -204,25 +200,42 @@
     }
 }
 
-/// The newest whole snapshot in `folder` and its age in microseconds, with a log line that says which was taken
-/// and why any newer one was not; `None` is a cold start.
+/// The proxy's snapshots in `folder`, its `state_dir`.
 ///
 /// # Errors
 /// None for the fixed name of the proxy's snapshots; kept for the store's check of names.
-pub fn restore(folder: &Path) -> io::Result<Option<(Legacy, u64)>> {
-    let store = Store::new(folder, LEARNT, LEGACY_VERSION)?;
+pub fn state_store(folder: &Path) -> io::Result<Store> {
+    Store::new(folder, LEARNT, LEGACY_VERSION)
+}
+
+/// The newest whole snapshot in `store` and its age in microseconds, with a log line that says which was taken
+/// and why any newer one was not; `None` is a cold start.
+#[must_use]
+pub fn restore(store: &Store) -> Option<(Legacy, u64)> {
     let restored = store.read::<Legacy>();
     for (path, why) in &restored.rejected {
         log(format_args!("state: passed over {}: {why}", path.display()));
     }
     let Some(snapshot) = restored.snapshot else {
-        log(format_args!("state: cold start, no whole snapshot in {}", folder.display()));
-        return Ok(None);
+        log(format_args!("state: cold start, no whole snapshot in {}", store.folder().display()));
+        return None;
     };
     let age_ms = wall_ms().saturating_sub(snapshot.written_ms);
     let (generation, names) = (snapshot.generation, snapshot.value.names.len());
     log(format_args!("state: restored generation {generation}, {age_ms} ms old, {names} backends named"));
-    Ok(Some((snapshot.value, age_ms * 1_000)))
+    Some((snapshot.value, age_ms * 1_000))
+}
+
+/// What the module has learnt, asked of the driver; `None` when the driver has ended.
+async fn learnt_now(handle: &Handle) -> Option<Learnt> {
+    let (asked, learnt) = oneshot::channel();
+    handle.tell(Message::Learnt(asked));
+    learnt.await.ok()
+}
+
+/// The names of all backends that were ever listed, in the order of their numbers.
+fn named(numbers: &RefCell<Numbers>) -> Vec<String> {
+    numbers.borrow().names().into_iter().map(str::to_owned).collect()
 }
 
 /// Milliseconds since the Unix epoch: a snapshot's age must count across processes and restarts, which the
@@ -417,11 +430,9 @@
             sent.map_err(io::Error::from)
         };
         stream.async_io(Interest::WRITABLE, send).await?;
-        let (asked, learnt) = oneshot::channel();
-        self.handle.tell(Message::Learnt(asked));
         // A driver that has ended leaves nothing to hand on.
-        let learnt = learnt.await.unwrap_or_default();
-        let names = self.numbers.borrow().names().into_iter().map(str::to_owned).collect();
+        let learnt = learnt_now(&self.handle).await.unwrap_or_default();
+        let names = named(&self.numbers);
         let line = serde_json::to_string(&Legacy { names, learnt })? + "\n";
         let mut rest = line.as_bytes();
         while !rest.is_empty() {
--- a/src/proxy/program.rs
+++ b/src/proxy/program.rs
@@ -10,7 +10,7 @@
 use crate::proxy::discovery::{Numbers, Translator, Watcher};
 use crate::proxy::drain::Drain;
 use crate::proxy::driver::{Driver, Handle, Limits, Message};
-use crate::proxy::handover::{self, Bans, Company, Held, Keeper, Legacy, Predecessor};
+use crate::proxy::handover::{self, Bans, Company, Held, Keeper, Predecessor};
 use crate::proxy::log;
 use std::cell::{Cell, RefCell};
 use std::env;
@@ -108,22 +108,17 @@
     let mut balancer = Balancer::new(settings.clone(), config.seed, clock.now())?;
     let (subscribe, subscriptions) = mpsc::unbounded_channel();
     let numbers = Rc::new(RefCell::new(Numbers::default()));
+    let store = config.state_dir.as_deref().map(handover::state_store).transpose()?;
     // What a predecessor hands over is newer than any snapshot, which is read only where none did.
-    let legacy: Option<(&Legacy, u64)> = predecessor.as_ref().map(|p| (&p.legacy, 0));
-    let restored = match (&legacy, &config.state_dir) {
-        (None, Some(folder)) => handover::restore(folder)?,
-        _ => None,
-    };
-    let legacy = legacy.or(restored.as_ref().map(|(legacy, age)| (legacy, *age)));
+    let restored = store.as_ref().filter(|_| predecessor.is_none()).and_then(handover::restore);
+    let handed = predecessor.as_ref().map(|p| (&p.legacy, 0));
+    let legacy = handed.or(restored.as_ref().map(|(legacy, age)| (legacy, *age)));
     if let Some((legacy, age)) = legacy {
         balancer.recall_aged(&legacy.learnt, age);
         legacy.names.iter().for_each(|name| _ = numbers.borrow_mut().number(name));
     }
     let (driver, handle) = Driver::new(balancer, clock, Rc::clone(&fleet), limits, subscribe);
-    let keeper = match &config.state_dir {
-        Some(folder) => Some(Keeper::new(folder, handle.clone(), Rc::clone(&numbers))?),
-        None => None,
-    };
+    let keeper = store.map(|store| Keeper::new(store, handle.clone(), Rc::clone(&numbers)));
     let held = Rc::new(Cell::new(false));
     let translator = Translator::new(clock, &config.names, Rc::clone(&numbers));
     let subscriptions = asked.then_some(subscriptions);
--- a/src/rig/procs.rs
+++ b/src/rig/procs.rs
@@ -63,12 +63,11 @@
         let name = format!("proxy-{me}");
         let address = free_port(scenario.ip()).map_err(|e| format!("no port for {name}: {e}"))?;
         let zone = scenario.zone(scenario.proxies[me].zone.get_ref()).unwrap_or_default();
-        let config = json!({"name": name, "listen": address.to_string(), "discovery": list.to_string(),
+        let mut config = json!({"name": name, "listen": address.to_string(), "discovery": list.to_string(),
             "seed": format!("{:016x}", scenario.seed.wrapping_add(me as u64)),
             "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 1024},
             "known": known, "settings": settings(scenario, me, zone)});
         let home = out.join(format!("{name}.tmp"));
-        let mut config = config;
         // Each run begins cold; only a restart within the run goes on from a snapshot.
         let _ = fs::remove_dir_all(home.join("state"));
         if scenario.proxies[me].keep_state {
