Count the way to the end back from SIGKILL, so that nothing taken ends without its answer

Cause: Drain::stop closed idle connections at 0.8 s and ended the process at SIGTERM + longest deadline + 0.5 s with clients still connected. A request may come on an open connection up to 0.8 s and has a whole deadline: its answer is due up to 0.3 s after the process is gone. A forced test (40 kept connections, one request each every 40 ms from SIGTERM on, servers that take 850 ms, deadline 1 s) loses those of 0.68 to 0.80 s, and no others, on the version without this change. Ruled out: a close that crosses a request (the client is not told it was lost, and sends it again), the front's late connections (the test opens none), the successor (same losses with and without one).

The driver hears when the last answers are due and gives every request that comes after SIGTERM no more time than that, so the module holds, retries and gives up within it. A request that is not whole 0.25 s before SIGKILL is refused with a retry-after; the same for a large body still on its way, whose request no server has begun. Rejected: a longer slack (SIGKILL comes no later for it, and what it finds unanswered is lost as well).

--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -41,6 +41,8 @@
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// The largest head of a request.
 const HEAD_CAP: usize = 32 * 1024;
+/// How long a client that comes as this process ends stays away: the front knows of the end by then.
+const ELSEWHERE: Micros = 100_000;
 /// A time left beyond this makes no sense.
 const MOST_TIME_LEFT_MS: u64 = 3_600_000;
 
@@ -65,6 +67,9 @@
     classes: FxHashMap<String, Class>,
     tenants: FxHashMap<String, u16>,
     longest: Micros,
+    /// What a client is told that comes as the process ends: another proxy may serve it as soon as it asks there.
+    /// 0: the settings allow no word.
+    retry_after: Micros,
 }
 
 impl Table {
@@ -80,6 +85,7 @@
             classes: classes.collect(),
             tenants: names.tenants.iter().cloned().zip(0..).collect(),
             longest: settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default(),
+            retry_after: settings.permissions.retry_after.map_or(0, |most| most.min(ELSEWHERE)),
         }
     }
 }
@@ -100,15 +106,25 @@
     /// Those that were asked and are not closed yet.
     shedding: Cell<usize>,
     accepted_at: Cell<Instant>,
+    /// When the last answers are due, once the process is on its way to its end.
+    ends_at: Cell<Option<Instant>>,
     transfers: Transfers,
 }
 
 /// A request that is answered here because the module can't be asked about it.
-struct Rejected(StatusCode, &'static str);
+enum Rejected {
+    /// It is not as it should be.
+    Bad(StatusCode, &'static str),
+    /// It came too late for this process; whoever asks another one after this time is served.
+    Ending(Micros),
+}
 
 impl Rejected {
     fn response(self) -> Response<Answered> {
-        let Self(status, why) = self;
+        let (status, why) = match self {
+            Self::Bad(status, why) => (status, why),
+            Self::Ending(retry_after) => return refusal(retry_after),
+        };
         let mut response = plain(status, why);
         if status == StatusCode::METHOD_NOT_ALLOWED {
             response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, POST"));
@@ -178,6 +194,7 @@
             shed: Notify::new(),
             shedding: Cell::new(0),
             accepted_at: Cell::new(Instant::now()),
+            ends_at: Cell::new(None),
             transfers,
         })
     }
@@ -197,6 +214,23 @@
         Duration::from_micros(self.table.borrow().longest)
     }
 
+    /// Whatever comes from now on has to be answered by `end`.
+    pub fn end_at(&self, end: Instant) {
+        self.ends_at.set(Some(end));
+        self.handle.tell(Message::End(self.clock.at(end)));
+    }
+
+    /// Waits until no more bytes of a request are waited for.
+    async fn ending(&self) {
+        let mut phase = self.phase.clone();
+        // Whoever moves the proxy through its phases lives as long as it does.
+        let _ = phase.wait_for(|phase| *phase == Phase::Ending).await;
+    }
+
+    fn rejected_at_end(&self) -> Rejected {
+        Rejected::Ending(self.table.borrow().retry_after)
+    }
+
     /// Open client connections.
     #[must_use]
     pub fn open(&self) -> usize {
@@ -281,15 +315,19 @@
                         return Poll::Ready(ended.is_ok());
                     }
                     // What it is at may have changed; a late one is not waited for.
-                    let away = *self.phase.borrow() == Phase::Closing;
-                    let Some(deadline) = pace.deadline(away) else { return Poll::Pending };
+                    let now_in = *self.phase.borrow();
+                    let Some(deadline) = pace.deadline(now_in) else { return Poll::Pending };
                     if late.deadline() != deadline {
                         late.as_mut().reset(deadline);
                     }
-                    late.as_mut().poll(cx).map(|()| false)
+                    let is_late = late.as_mut().poll(cx).is_ready();
+                    // Close to the end, bytes that are there already may be a whole request: they are read first.
+                    let is_read_first = now_in == Phase::Ending && pace.has_unread();
+                    if is_late && !is_read_first { Poll::Ready(false) } else { Poll::Pending }
                 }) => break,
                 Ok(()) = phase.changed(), if !told => {
-                    if *phase.borrow_and_update() == Phase::Closing {
+                    // One on which a request is coming is answered first; the answer closes it.
+                    if *phase.borrow_and_update() == Phase::Closing && pace.may_close() {
                         told = true;
                         Pin::new(&mut conn).graceful_shutdown();
                     }
@@ -337,11 +375,19 @@
         let (sender, answer) = oneshot::channel();
         let guard = Guard { handle: &self.handle, request: inbound.request.id, answered: false };
         self.handle.tell(Message::Request(Box::new(inbound), sender));
-        let answer = answer.await;
+        let answer = match &upload {
+            None => answer.await,
+            // A body that is still on its way at the end is not waited for: no backend has begun its request.
+            Some(upload) => tokio::select! {
+                biased;
+                answer = answer => answer,
+                () = self.ending(), if upload.sent().is_none() => return self.rejected_at_end().response(),
+            },
+        };
         guard.answered();
         if let Some(fault) = upload.and_then(|upload| upload.fault()) {
             let (status, why) = fault.status();
-            return Rejected(status, why).response();
+            return Rejected::Bad(status, why).response();
         }
         match answer {
             Ok(Answer::Served(served)) => {
@@ -358,7 +404,7 @@
 
     async fn inbound(&self, request: Request<Incoming>, body_within: Duration) -> Result<Inbound, Rejected> {
         let (head, body) = request.into_parts();
-        let bad = |why| Rejected(StatusCode::BAD_REQUEST, why);
+        let bad = |why| Rejected::Bad(StatusCode::BAD_REQUEST, why);
         let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
         let in_path = head.uri.path().split('/').nth(1).unwrap_or_default();
         let table = Rc::clone(&self.table.borrow());
@@ -367,7 +413,7 @@
             return Err(bad("the class of the header is not that of the path\n"));
         }
         if head.method != facts.method {
-            return Err(Rejected(StatusCode::METHOD_NOT_ALLOWED, "not the method of this class\n"));
+            return Err(Rejected::Bad(StatusCode::METHOD_NOT_ALLOWED, "not the method of this class\n"));
         }
         // Without its key a repeat would not be dropped.
         if facts.keyed && text(IDEMPOTENCY_KEY).is_none_or(str::is_empty) {
@@ -393,11 +439,18 @@
             repeat: text(REPEAT) == Some("1"),
             upload: false,
         };
-        let read = Paced::new(body, body_within).read().await;
+        let read = tokio::select! {
+            biased;
+            read = Paced::new(body, body_within).read() => read,
+            () = self.ending() => return Err(self.rejected_at_end()),
+        };
         let read = read.map_err(|fault| {
             let (status, why) = fault.status();
-            Rejected(status, why)
+            Rejected::Bad(status, why)
         })?;
+        if self.ends_at.get().is_some_and(|end| Instant::now() >= end) {
+            return Err(self.rejected_at_end());
+        }
         let (body, upload) = match read {
             Read::Whole(body) => (body, None),
             Read::Large(begun, rest) => {
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -85,6 +85,8 @@
     Learnt(oneshot::Sender<Learnt>),
     /// How many processes serve in this proxy's place, this one among them.
     Company(u32),
+    /// The process is ending: whatever comes from now on has to be answered by then.
+    End(Micros),
 }
 
 /// The way to the driver.
@@ -160,6 +162,8 @@
     timers: BinaryHeap<Reverse<(Micros, Due)>>,
     pending: VecDeque<Pending>,
     actions: Vec<Action>,
+    /// When the last answers are due; as late as can be while the process is to go on.
+    end: Micros,
 }
 
 /// The limits that the driver itself keeps.
@@ -196,6 +200,7 @@
             timers: BinaryHeap::new(),
             pending: VecDeque::new(),
             actions: Vec::new(),
+            end: Micros::MAX,
         };
         (driver, handle)
     }
@@ -274,6 +279,7 @@
                 let _ = numbers.send(self.balancer.classes().to_vec());
             }
             Message::Learnt(asked) => _ = asked.send(self.balancer.learnt()),
+            Message::End(end) => self.end = end,
             Message::Company(processes) => self.feed(now, Event::Company { processes }),
             Message::Maintenance(backend, out, done) => {
                 self.fleet.ban(backend, out);
@@ -287,7 +293,7 @@
 
     fn on_request(&mut self, now: Micros, inbound: Inbound, client: oneshot::Sender<Answer>) {
         let Inbound { mut request, arrived, call } = inbound;
-        let end = arrived.saturating_add(request.patience);
+        let end = arrived.saturating_add(request.patience).min(self.end);
         let left = end.saturating_sub(now);
         // A client with hardly any time at all is not robbed of what it has.
         request.patience = left.saturating_sub(ANSWER_MARGIN.min(left / 2));
@@ -306,7 +312,7 @@
     fn on_uploaded(&mut self, now: Micros, request: RequestId) {
         let Some(open) = self.open.get_mut(&request) else { return };
         open.attempts.iter_mut().filter(|a| a.cancel.is_some()).for_each(|a| a.sent_at = now);
-        let last = now + open.patience;
+        let last = (now + open.patience).min(self.end.saturating_sub(LAST_MARGIN));
         self.timers.push(Reverse((last, Due::LastMoment(request))));
         self.feed(now, Event::Uploaded(request));
     }
--- a/src/proxy/pace.rs
+++ b/src/proxy/pace.rs
@@ -1,5 +1,6 @@
 //! How long a client's connection may take for what it is at.
 
+use super::drain::Phase;
 use super::socket::Wire;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -66,9 +67,26 @@
         self.wire.bound();
     }
 
-    /// When the connection has taken too long for what it is at; `away`: clients are sent away.
+    /// Whether the socket holds the beginning of a request that is not read yet.
     #[must_use]
-    pub fn deadline(&self, away: bool) -> Option<Instant> {
+    pub fn has_unread(&self) -> bool {
+        !matches!(self.at.get(), At::Request) && !self.wire.is_quiet()
+    }
+
+    /// Whether it can be told to close once it is idle, so that the close crosses nothing this machine has already:
+    /// neither a head that is coming nor the first request of a client that has just connected.
+    #[must_use]
+    pub fn may_close(&self) -> bool {
+        match self.at.get() {
+            At::Request => true,
+            At::Idle(..) => !self.first.get() && self.wire.is_quiet(),
+            At::Head(_) => false,
+        }
+    }
+
+    /// When the connection has taken too long for what it is at, `phase` being that of the proxy.
+    #[must_use]
+    pub fn deadline(&self, phase: Phase) -> Option<Instant> {
         if let At::Idle(_, read) = self.at.get()
             && self.wire.read() > read
         {
@@ -78,10 +96,11 @@
             return Some(since + STALLED);
         }
         match self.at.get() {
-            At::Idle(since, _) => Some(since + if away { IDLE_AWAY } else { IDLE }),
+            At::Request => None,
+            At::Idle(since, _) | At::Head(since) if phase == Phase::Ending => Some(since),
+            At::Idle(since, _) => Some(since + if phase == Phase::Closing { IDLE_AWAY } else { IDLE }),
             At::Head(_) if self.first.get() => Some(self.connected + FIRST),
             At::Head(since) => Some(since + HEAD),
-            At::Request => None,
         }
     }
 }
