Give the store's and the list service's errors types that say what to do

Change: RegistryError (src/registry/error.rs, thiserror) with a variant for each cause: a file that can't be read, a file of another shape (line and column as before), a member named twice, a phase that no member has, an address that can't be listened on, no runtime or signal; QueryError for a watch's parameter, the text of its 400. Each ends with what to do. Rejection and WriteError take their Display and source from thiserror; their meaning and the messages that tests check stay, WriteError and Rejection::Unreadable say what to do too. Store::new keeps `io::Error` (invalid input), which its callers hold already. `gatestage registry` still prints the message and exits with 2.

--- a/src/bin/gatestage.rs
+++ b/src/bin/gatestage.rs
@@ -83,7 +83,9 @@
     match Command::parse().part {
         Part::Proxy => haventrack::proxy::program::main(),
         Part::Rig { scenario, out, check } => finish("rig", rig(&scenario, &out, check)),
-        Part::Registry { config } => finish("registry", haventrack::registry::serve(config)),
+        Part::Registry { config } => {
+            finish("registry", haventrack::registry::serve(config).map_err(|e| e.to_string()))
+        }
         Part::RelayOverhead { requests } => {
             let measured = haventrack::rig::relay_overhead(std::net::Ipv4Addr::LOCALHOST.into(), requests);
             let printed = measured.and_then(|o| serde_json::to_string_pretty(&o).map_err(|e| e.to_string()));
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -6,8 +6,10 @@
 //! reads again, whole or not at all. Replication, health probes and the operators' calls come next
 //! (`docs/ROADMAP.md`).
 
+mod error;
 mod store;
 
+pub use error::{QueryError, RegistryError};
 pub use store::{Member, Store};
 
 use bytes::Bytes;
@@ -19,6 +21,7 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
@@ -56,22 +59,20 @@
     /// # Errors
     /// A file that can't be read, is not TOML of this shape (the message names line and column), or names one
     /// member twice or with a phase other than `active` or `leaving`.
-    pub fn from_file(path: &Path) -> Result<Self, String> {
-        let text =
-            std::fs::read_to_string(path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
-        let config: Self = toml::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+    pub fn from_file(path: &Path) -> Result<Self, RegistryError> {
+        let here = || path.to_path_buf();
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| RegistryError::Unreadable { path: here(), source })?;
+        let config: Self = toml::from_str(&text)
+            .map_err(|source| RegistryError::Shape { path: here(), source: Box::new(source) })?;
         let mut seen = std::collections::BTreeSet::new();
         for member in &config.members {
             if !seen.insert(&member.id) {
-                return Err(format!("{}: member `{}` is named twice", path.display(), member.id));
+                return Err(RegistryError::Twice { path: here(), member: member.id.clone() });
             }
             if !matches!(member.phase.as_str(), "active" | "leaving") {
-                return Err(format!(
-                    "{}: member `{}` has phase `{}`",
-                    path.display(),
-                    member.id,
-                    member.phase
-                ));
+                let (member, phase) = (member.id.clone(), member.phase.clone());
+                return Err(RegistryError::Phase { path: here(), member, phase });
             }
         }
         Ok(config)
@@ -102,23 +103,28 @@
 ///
 /// # Errors
 /// A configuration that can't be taken, or a listener that can't be opened.
-pub fn serve(path: PathBuf) -> Result<(), String> {
+pub fn serve(path: PathBuf) -> Result<(), RegistryError> {
     let config = Config::from_file(&path)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    runtime.map_err(|e| format!("no runtime: {e}"))?.block_on(run(config, path))
+    runtime.map_err(lacks("runtime"))?.block_on(run(config, path))
 }
 
-async fn run(config: Config, path: PathBuf) -> Result<(), String> {
-    let listener = TcpListener::bind(config.listen)
-        .await
-        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+/// Turns what the operating system refuses into an error that says what is lacking.
+fn lacks(what: &'static str) -> impl FnOnce(io::Error) -> RegistryError {
+    move |source| RegistryError::System { what, source }
+}
+
+async fn run(config: Config, path: PathBuf) -> Result<(), RegistryError> {
+    let address = config.listen;
+    let refused = |source| RegistryError::Listen { address, source };
+    let listener = TcpListener::bind(address).await.map_err(refused)?;
+    let address = listener.local_addr().map_err(refused)?;
     let (revision, _) = watch::channel(0);
     let shared = Arc::new(Shared { store: Mutex::new(Store::new(config.keep_changes)), revision });
     shared.replace(config.members);
-    let address = listener.local_addr().map_err(|e| e.to_string())?;
     eprintln!("registry listens on {address}, revision {}", shared.store().revision());
-    let mut hang_up = signal(SignalKind::hangup()).map_err(|e| format!("no SIGHUP: {e}"))?;
-    let mut stop = signal(SignalKind::terminate()).map_err(|e| format!("no SIGTERM: {e}"))?;
+    let mut hang_up = signal(SignalKind::hangup()).map_err(lacks("SIGHUP"))?;
+    let mut stop = signal(SignalKind::terminate()).map_err(lacks("SIGTERM"))?;
     tokio::spawn(accept(listener, Arc::clone(&shared)));
     loop {
         tokio::select! {
@@ -146,11 +152,12 @@
 }
 
 /// `after` and `wait_ms` of a watch; an error names the parameter that is no whole number.
-fn query(text: Option<&str>) -> Result<(u64, u64), String> {
+fn query(text: Option<&str>) -> Result<(u64, u64), QueryError> {
     let (mut after, mut wait) = (0, 0);
     for pair in text.unwrap_or_default().split('&').filter(|p| !p.is_empty()) {
         let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
-        let number = || value.parse::<u64>().map_err(|_| format!("`{name}` is no whole number: `{value}`"));
+        let wrong = || QueryError { name: name.to_owned(), value: value.to_owned() };
+        let number = || value.parse::<u64>().map_err(|_| wrong());
         match name {
             "after" => after = number()?,
             "wait_ms" => wait = number()?,
@@ -185,7 +192,7 @@
     }
     let (after, wait_ms) = match query(head.uri.query()) {
         Ok(asked) => asked,
-        Err(reason) => return respond(StatusCode::BAD_REQUEST, reason),
+        Err(reason) => return respond(StatusCode::BAD_REQUEST, reason.to_string()),
     };
     if after > 0 && wait_ms > 0 {
         let mut revision = shared.revision.subscribe();
--- a/src/store/disk.rs
+++ b/src/store/disk.rs
@@ -1,10 +1,10 @@
 //! Files that are replaced whole: written beside, synced, renamed into place, the folder synced.
 
-use std::fmt;
 use std::fs::{self, File};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
+use thiserror::Error;
 
 /// How old a temporary file must be to be taken for one that a killed writer left.
 const STALE_TEMPORARY: Duration = Duration::from_secs(60);
@@ -12,28 +12,22 @@
 pub(super) const SYNC_FOLDER: &str = "sync folder";
 
 /// A write that did not complete; the snapshots already stored are untouched.
-#[derive(Debug)]
+#[derive(Debug, Error)]
+#[error(
+    "snapshot not stored: {step} {}: {error}; see that the disk has room and that the folder is this program's \
+     to write",
+    path.display()
+)]
 pub struct WriteError {
     /// The step that failed: `encode`, `create`, `write`, `sync`, `rename`, `sync folder` or `list`.
     pub step: &'static str,
     /// The file or folder it failed on.
     pub path: PathBuf,
     /// The cause.
+    #[source]
     pub error: io::Error,
 }
 
-impl fmt::Display for WriteError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "snapshot not stored: {} {}: {}", self.step, self.path.display(), self.error)
-    }
-}
-
-impl std::error::Error for WriteError {
-    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
-        Some(&self.error)
-    }
-}
-
 /// Turns an `io::Error` of `step` on `path` into a [`WriteError`].
 pub(super) fn fail(step: &'static str, path: &Path) -> impl FnOnce(io::Error) -> WriteError {
     let path = path.to_path_buf();
--- a/src/store/envelope.rs
+++ b/src/store/envelope.rs
@@ -3,8 +3,8 @@
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use std::fmt;
 use std::io;
+use thiserror::Error;
 
 /// The envelope's format that this code writes and reads.
 pub const FORMAT: u16 = 1;
@@ -124,9 +124,10 @@
 }
 
 /// Why a snapshot file, or a record of a log, is not used.
-#[derive(Debug)]
+#[derive(Debug, Error)]
 pub enum Rejection {
     /// Shorter than its header says: `length` bytes, `needed` for a whole snapshot.
+    #[error("truncated: {length} bytes of {needed}")]
     Truncated {
         /// The file's length in bytes.
         length: u64,
@@ -134,12 +135,16 @@
         needed: u64,
     },
     /// Longer than its header says, by this many bytes.
+    #[error("{0} bytes after the payload")]
     Trailing(u64),
     /// Does not begin with the magic of its kind.
+    #[error("no magic: not written by this program, or damaged")]
     NotASnapshot,
     /// Written in another envelope format.
+    #[error("envelope format {0}, this program reads {FORMAT}")]
     Format(u16),
     /// Its payload is of another version than the caller reads.
+    #[error("version {found}, this program reads {expected}")]
     Version {
         /// The version in the file.
         found: u16,
@@ -147,6 +152,7 @@
         expected: u16,
     },
     /// The header names a payload longer than its kind may have.
+    #[error("payload of {length} bytes is over the cap of {cap}")]
     TooLong {
         /// The payload's length in bytes, as the header gives it.
         length: u32,
@@ -154,6 +160,7 @@
         cap: u32,
     },
     /// The checksum does not match: the file was damaged after it was written.
+    #[error("checksum {computed:08x} where {stored:08x} was stored")]
     Checksum {
         /// As stored.
         stored: u32,
@@ -161,25 +168,9 @@
         computed: u32,
     },
     /// The checksum matches, but the payload does not decode as the caller's type.
+    #[error("payload does not decode: {0}")]
     Garbled(String),
     /// The file could not be read.
-    Unreadable(io::Error),
-}
-
-impl fmt::Display for Rejection {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Truncated { length, needed } => write!(f, "truncated: {length} bytes of {needed}"),
-            Self::Trailing(extra) => write!(f, "{extra} bytes after the payload"),
-            Self::NotASnapshot => write!(f, "no magic: not written by this program, or damaged"),
-            Self::Format(format) => write!(f, "envelope format {format}, this program reads {FORMAT}"),
-            Self::Version { found, expected } => write!(f, "version {found}, this program reads {expected}"),
-            Self::TooLong { length, cap } => write!(f, "payload of {length} bytes is over the cap of {cap}"),
-            Self::Checksum { stored, computed } => {
-                write!(f, "checksum {computed:08x} where {stored:08x} was stored")
-            }
-            Self::Garbled(why) => write!(f, "payload does not decode: {why}"),
-            Self::Unreadable(error) => write!(f, "unreadable: {error}"),
-        }
-    }
+    #[error("unreadable: {0}; see that this program may read it and that the disk is in order")]
+    Unreadable(#[source] io::Error),
 }
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -175,3 +175,27 @@
         String::from_utf8_lossy(&output.stderr)
     );
 }
+
+#[test]
+fn what_keeps_it_from_starting_says_what_to_do() {
+    let file = env::temp_dir().join(format!("gatestage-registry-{}-start.toml", std::process::id()));
+    let refusal = |text: Option<String>| {
+        let _ = fs::remove_file(&file);
+        text.iter().for_each(|text| fs::write(&file, text).expect("the configuration is written"));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_gatestage"));
+        let output = command.args(["registry", "--config"]).arg(&file).output().expect("it ends");
+        assert_eq!(output.status.code(), Some(2));
+        String::from_utf8_lossy(&output.stderr).into_owned()
+    };
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let listen = format!("listen = \"{}\"\n", taken.local_addr().expect("its address"));
+    for (text, what_to_do) in [
+        (None, "see that --config names the file"),
+        (Some(listen.clone() + "speed = 1\n"), "correct that line"),
+        (Some(listen.clone() + &member("s-1", "gone")), "write `active` or `leaving`"),
+        (Some(listen), "end what listens there or change `listen`"),
+    ] {
+        let said = refusal(text);
+        assert!(said.contains(what_to_do), "{said}");
+    }
+}
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -134,6 +134,8 @@
     let error = Store::new(&blocked, "learnt", 3).unwrap().write(&learnt(9.0), 0).unwrap_err();
     assert_eq!(error.step, "create");
     assert!(error.to_string().contains("not-a-folder"), "{error}");
+    assert!(error.to_string().contains("see that the disk has room"), "{error}");
+    assert!(std::error::Error::source(&error).is_some(), "the cause stays");
     assert!(Store::new(store.folder(), "a/b", 3).is_err());
     assert!(Store::new(store.folder(), "", 3).is_err());
     assert_eq!(store.read::<Learnt>().snapshot.map(|s| s.generation), Some(2));
