--- a/src/proxy/handover.rs
+++ b/src/proxy/handover.rs
@@ -31,11 +31,12 @@
 use std::os::unix::net::UnixStream as StdUnixStream;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use std::{env, fs, io};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, UnixListener, UnixStream};
-use tokio::sync::oneshot;
+use tokio::sync::{Mutex, oneshot};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 /// The socket in `$TMPDIR` at which a process waits for the one that replaces it.
@@ -160,27 +161,40 @@
 /// Keeps the [`Legacy`] on disk through the checked store, so that a start after a crash or a power loss goes on
 /// from what was learnt: every 2 s (`KEEP_EVERY`) and once more at SIGTERM.
 pub struct Keeper {
-    store: Store,
+    store: Arc<Store>,
     handle: Handle,
     numbers: Rc<RefCell<Numbers>>,
     /// Whether the last write failed, so that a failure that lasts is logged once and its end once.
     failing: Cell<bool>,
+    /// One write at a time: that of SIGTERM may come while the last one is still under way.
+    writing: Mutex<()>,
 }
 
 impl Keeper {
     /// Keeps into `store` (see [`state_store`]) what the driver behind `handle` learns.
     #[must_use]
     pub fn new(store: Store, handle: Handle, numbers: Rc<RefCell<Numbers>>) -> Rc<Self> {
-        Rc::new(Self { store, handle, numbers, failing: Cell::new(false) })
+        Rc::new(Self {
+            store: Arc::new(store),
+            handle,
+            numbers,
+            failing: Cell::new(false),
+            writing: Mutex::new(()),
+        })
     }
 
     /// Stores what the module has learnt now; a failure (full disk, folder not writable) is logged and the next
-    /// turn tries again.
+    /// turn tries again. A thread of the runtime's own does the writing: no request waits for the disk.
     pub async fn keep_now(&self) {
+        let _alone = self.writing.lock().await;
         // A driver that has ended leaves nothing worth storing over what is stored.
         let Some(learnt) = learnt_now(&self.handle).await else { return };
-        let names = named(&self.numbers);
-        match self.store.write(&Legacy { names, learnt }, wall_ms()) {
+        let legacy = Legacy { names: named(&self.numbers), learnt };
+        let store = Arc::clone(&self.store);
+        let write = tokio::task::spawn_blocking(move || store.write(&legacy, wall_ms()));
+        // A runtime that is shutting down stores nothing more.
+        let Ok(written) = write.await else { return };
+        match written {
             Ok(_) if self.failing.replace(false) => log(format_args!("state: stored again")),
             Ok(_) => {}
             Err(error) if !self.failing.replace(true) => log(format_args!("state: {error}; trying again")),
--- a/src/proxy/program.rs
+++ b/src/proxy/program.rs
@@ -158,14 +158,16 @@
                 log(format_args!("SIGHUP changes nothing: {error}"));
             },
             _ = signals.stop.recv() => {
-                if let Some(keeper) = &keeper {
-                    keeper.keep_now().await;
-                }
                 let replaced = company.has_successor();
                 if replaced {
                     accept.abort();
                 }
-                drain.stop(&clients, replaced).await;
+                let kept = async {
+                    if let Some(keeper) = &keeper {
+                        keeper.keep_now().await;
+                    }
+                };
+                tokio::join!(drain.stop(&clients, replaced), kept);
                 return Ok(());
             }
         }
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -1218,6 +1218,10 @@
     found
 }
 
+fn threads(proxy: &Proxy) -> usize {
+    std::fs::read_dir(format!("/proc/{}/task", proxy.child.id())).expect("it runs").count()
+}
+
 #[test]
 fn a_killed_proxy_goes_on_from_its_snapshot_and_passes_over_a_damaged_one() {
     let discovery = Discovery::start();
@@ -1237,6 +1241,7 @@
         assert!(since.elapsed() < std::time::Duration::from_secs(20), "two snapshots within 20 s");
         std::thread::sleep(std::time::Duration::from_millis(100));
     }
+    assert!(threads(&first) > 1, "the thread that serves writes nothing itself");
     first.child.kill().expect("it runs");
     first.wait();
     // A power loss that damaged the newest: the one before it is taken, and the log says why.
