--- a/tests/log.rs
+++ b/tests/log.rs
@@ -2,7 +2,6 @@
 //! killed while it appends, and disks that take no more.
 
 use haventrack::store::{HEADER, Log, LogError, Owner, PUBLISH_SYNCED, Rejection};
-use proptest::prelude::*;
 use std::io::{BufRead, BufReader, Write, stderr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -367,35 +366,6 @@
     log.append(synced, &entries(synced..synced + 7)).and_then(|()| log.sync()).expect("room again");
 }
 
-proptest! {
-    #![proptest_config(ProptestConfig { cases: 2_000, ..ProptestConfig::default() })]
-
-    /// Whatever the file holds, opening it gives a log or an error, never a panic.
-    #[test]
-    fn any_bytes_open_without_panic(
-        keep in 0usize..3,
-        tail in proptest::collection::vec(any::<u8>(), 0..300),
-        marks in proptest::collection::vec(0usize..300, 0..4),
-    ) {
-        static WRITTEN: std::sync::OnceLock<(PathBuf, Vec<u8>, Vec<usize>)> = std::sync::OnceLock::new();
-        let (path, whole, starts) = WRITTEN.get_or_init(|| written(&folder("any"), 2));
-        let (begin, folder) = (starts[0], path.parent().unwrap());
-        let mut bytes = whole[..[0, begin, whole.len()][keep]].to_vec();
-        let from = bytes.len();
-        bytes.extend(tail);
-        for at in marks {
-            // A header that could be a record's, with any length and checksum.
-            if let Some(place) = bytes.get_mut(from + at..from + at + 8) {
-                place.copy_from_slice(&whole[begin..begin + 8]);
-            }
-        }
-        fs::write(path, &bytes).unwrap();
-        let opened = open(folder).map(|log| log.next());
-        prop_assert!(keep < 2 || matches!(opened, Ok(2)), "{:?}", opened);
-        prop_assert!(keep > 0 || opened.is_err());
-    }
-}
-
 #[test]
 #[ignore = "a measurement: run by hand with --nocapture"]
 fn measure_append_and_sync() {
