Test that a silent watch on a pushed list is opened anew in time, lists in any shape

Need: what a silent watch misses counts as told 6 s after it fell silent, and lists may come indented. No test guarded either.

Change: tests/proxy/watches.rs with a stand-in discovery that leaves each call to the test. A watch falls silent before its first byte, in the head, in the body, or trickles one byte a second, each as the first call of a new process and after a call that worked, on a connection that stays up: the next call has to come within 6 s, on another connection, knowing the same version, and the change that it brings is in force from then on. Lists come indented, in pieces, chunked in pieces, and up to the end of the connection. The full queue of a listener moves to the test rig for later use.

--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -2,6 +2,7 @@
 
 mod restart;
 mod rig;
+mod watches;
 
 use bytes::Bytes;
 use haventrack::api::{Outcome, Readiness};
@@ -11,7 +12,6 @@
 use haventrack::proxy::handover::{Bans, Held};
 use hyper::{HeaderMap, Method, Uri};
 use rig::*;
-use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, Read, Write};
 use std::rc::Rc;
 use std::sync::mpsc::{Sender, channel};
@@ -417,13 +417,8 @@
 #[test]
 fn a_backend_that_began_to_drain_while_its_connection_came_up_gets_nothing() {
     let discovery = Discovery::start();
-    // A listener whose queue is full: connections to it come up only when it is emptied.
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    socket.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
-    socket.listen(0).expect("it listens");
-    let listener = std::net::TcpListener::from(socket);
+    let (listener, filler) = full_queue();
     let address = listener.local_addr().expect("an address");
-    let filler = std::net::TcpStream::connect(address).expect("the queue takes one");
     let proxy = Proxy::start("slow-connect", &discovery, &[entry("s-1", address, "active", 0)]);
     let mut client = proxy.client();
     client.send(&request("charge", "1", "x"));
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -2,6 +2,7 @@
 //! here waits for a span of time: tests wait for events, and the time-outs only end a test that has failed.
 
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -150,6 +151,16 @@
            "phase": phase, "size": 1.0, "up_since_ms": up_since_ms})
 }
 
+/// A listener whose queue is full, and what fills it: connections to it come up only when it is emptied.
+pub fn full_queue() -> (TcpListener, TcpStream) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    socket.listen(0).expect("it listens");
+    let listener = TcpListener::from(socket);
+    let filler = TcpStream::connect(listener.local_addr().expect("an address")).expect("the queue takes one");
+    (listener, filler)
+}
+
 struct Board {
     revision: u64,
     list: Option<Value>,
--- /dev/null
+++ b/tests/proxy/watches.rs
@@ -0,0 +1,219 @@
+//! Watches that fall silent, agents that are away and lists in odd shapes: how soon what discovery has is in force.
+
+use crate::rig::*;
+use serde_json::{Value, json};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What a missed change counts as told after, from the moment that a watch on a pushed list falls silent.
+const SILENCE: Duration = Duration::from_secs(6);
+
+/// A call to discovery. The test answers it, or does not.
+struct Call {
+    /// Which of discovery's connections it came on.
+    connection: usize,
+    /// The version that the caller knows.
+    after: Option<u64>,
+    at: Instant,
+    stream: TcpStream,
+}
+
+impl Call {
+    fn write(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).expect("the proxy reads");
+    }
+
+    fn answer(mut self, list: &Value) {
+        self.write(&answer("200 OK", "", list.to_string().as_bytes()));
+    }
+}
+
+/// Discovery that leaves each call to the test.
+struct Agent {
+    address: SocketAddr,
+    calls: Receiver<Call>,
+}
+
+impl Agent {
+    fn start() -> Self {
+        Self::on(TcpListener::bind("127.0.0.1:0").expect("a port"))
+    }
+
+    fn on(listener: TcpListener) -> Self {
+        let address = listener.local_addr().expect("an address");
+        let (told, calls) = channel();
+        thread::spawn(move || {
+            for (connection, stream) in listener.incoming().enumerate() {
+                let (Ok(stream), told) = (stream, told.clone()) else { return };
+                thread::spawn(move || {
+                    let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+                    while let Some(seen) = read_message(&mut reader) {
+                        let number = |rest: &str| rest.split('&').next().and_then(|n| n.parse().ok());
+                        let after = seen.first_line().split_once("after=").and_then(|(_, rest)| number(rest));
+                        let stream = stream.try_clone().expect("a clone");
+                        let call = Call { connection, after, at: Instant::now(), stream };
+                        if told.send(call).is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Self { address, calls }
+    }
+
+    /// The next call, which may be a long wait away where discovery is asked.
+    fn next(&self) -> Call {
+        self.calls.recv_timeout(2 * PATIENCE).expect("a call")
+    }
+}
+
+/// Two backends, one of which a change takes out.
+struct Pair {
+    leaver: Backend,
+    stayer: Backend,
+}
+
+impl Pair {
+    fn start() -> Self {
+        Self { leaver: Backend::start(|_| ok("leaver")), stayer: Backend::start(|_| ok("stayer")) }
+    }
+
+    fn members(&self) -> [Value; 2] {
+        [entry("s-1", self.leaver.address, "active", 0), entry("s-2", self.stayer.address, "active", 0)]
+    }
+
+    /// The whole list before the change.
+    fn before(&self) -> Value {
+        json!({"revision": 41, "complete": true, "members": self.members()})
+    }
+
+    /// The change.
+    fn change(&self) -> Value {
+        let gone = entry("s-1", self.leaver.address, "leaving", 0);
+        json!({"revision": 42, "complete": false, "members": [gone]})
+    }
+
+    /// The whole list after it.
+    fn after(&self) -> Value {
+        let [_, stays] = self.members();
+        json!({"revision": 42, "complete": true, "members": [stays]})
+    }
+
+    /// The next call shows that the proxy holds the change; nothing goes to the leaver any more.
+    fn in_force(&self, proxy: &Proxy, agent: &Agent, what: &str) {
+        assert_eq!(agent.next().after, Some(42), "{what}");
+        self.leaver.rest();
+        for id in ["1", "2", "3", "4"] {
+            assert_eq!(proxy.client().ask(&request("read", id, "")).body, b"stayer", "{what}");
+        }
+        assert_eq!(self.leaver.rest(), 0, "{what}");
+    }
+}
+
+/// A configuration with an old list. Where discovery is asked it is shared by as many proxies as make the module
+/// leave it alone for ten seconds and more after a failed call.
+fn config_at(name: &str, mode: &str, address: SocketAddr, known: &Value) -> Value {
+    let mut settings = settings();
+    settings["membershipMode"] = mode.into();
+    if mode == "on_request" {
+        settings["balancers"] = 300.into();
+        settings["safety"]["askWithinUs"] = 10_000_000.into();
+    }
+    json!({"name": name, "listen": "127.0.0.1:0", "discovery": address.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known, "settings": settings})
+}
+
+/// The ways in which a watch falls silent: what is written before, and whether a byte comes each second from then on.
+fn silences(list: &str) -> [(&'static str, String, bool); 4] {
+    let length = list.len();
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+    [
+        ("first byte", String::new(), false),
+        ("head", "HTTP/1.1 200 OK\r\nContent-Le".to_owned(), false),
+        ("body", format!("{head}{}", &list[..length / 2]), false),
+        ("trickle", head, true),
+    ]
+}
+
+/// Makes a watch silent in that way; ends with the connection or, at the latest, with the patience for a call.
+fn fall_silent(call: &mut Call, written: &str, list: &str, trickles: bool) {
+    call.write(written.as_bytes());
+    let Ok(mut stream) = call.stream.try_clone() else { return };
+    let drops = list.to_owned().into_bytes();
+    thread::spawn(move || {
+        for byte in drops.iter().take(if trickles { 40 } else { 0 }) {
+            if stream.write_all(&[*byte]).is_err() {
+                return;
+            }
+            thread::sleep(Duration::from_secs(1));
+        }
+    });
+}
+
+/// One watch that falls silent in one way: it is opened anew on another connection before its change counts as told.
+fn a_silent_watch(mode: &str, first: bool, way: usize, told: Duration) {
+    let (agent, pair) = (Agent::start(), Pair::start());
+    let list = pair.change().to_string();
+    let (what, written, trickles) = silences(&list)[way].clone();
+    let name = format!("silent-{mode}-{first}-{way}");
+    let proxy = Proxy::start_with(&name, config_at(&name, mode, agent.address, &pair.before()));
+    let mut call = agent.next();
+    if !first {
+        call.answer(&json!({"revision": 41, "complete": false, "members": []}));
+        call = agent.next();
+    }
+    assert_eq!(call.after, Some(41), "{mode}, {what}");
+    fall_silent(&mut call, &written, &list, trickles);
+    let again = agent.next();
+    let silent = again.at - call.at;
+    assert!(silent < told, "{mode}, {what}: opened anew only after {silent:?}");
+    assert_ne!(again.connection, call.connection, "{mode}, {what}");
+    assert_eq!(again.after, Some(41), "{mode}, {what}");
+    again.answer(&pair.change());
+    pair.in_force(&proxy, &agent, what);
+}
+
+#[test]
+fn a_silent_watch_on_a_pushed_list_is_opened_anew_before_its_news_counts_as_told() {
+    thread::scope(|scope| {
+        for first in [true, false] {
+            (0..4).for_each(|way| _ = scope.spawn(move || a_silent_watch("pushed", first, way, SILENCE)));
+        }
+    });
+}
+
+#[test]
+fn lists_are_read_in_every_shape() {
+    let pair = Pair::start();
+    let pretty = serde_json::to_string_pretty(&pair.after()).expect("text");
+    let chunks = |size: usize| {
+        let chunk = |part: &[u8]| format!("{:x}\r\n{}\r\n", part.len(), String::from_utf8_lossy(part));
+        pretty.as_bytes().chunks(size).map(chunk).collect::<String>() + "0\r\n\r\n"
+    };
+    let whole = answer("200 OK", "", pretty.as_bytes());
+    let chunked = |size| format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunks(size));
+    let shapes: [(&str, Vec<u8>, usize, bool); 4] = [
+        ("indented", whole.clone(), whole.len(), false),
+        ("in pieces", whole, 7, false),
+        ("chunked in pieces", chunked(11).into_bytes(), 5, false),
+        ("to the end", format!("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{pretty}").into(), 64, true),
+    ];
+    for (what, bytes, piece, closes) in shapes {
+        let agent = Agent::start();
+        let config = config_at("shapes", "pushed", agent.address, &pair.before());
+        let proxy = Proxy::start_with("shapes", config);
+        let mut call = agent.next();
+        let _ = call.stream.set_nodelay(true);
+        for part in bytes.chunks(piece) {
+            call.write(part);
+        }
+        if closes {
+            let _ = call.stream.shutdown(std::net::Shutdown::Both);
+        }
+        pair.in_force(&proxy, &agent, what);
+    }
+}
