Give a dial to discovery that never comes up its own short time, not the call's

Symptom: where connections to discovery never come up, the first dial was given up only after 4.5 s with pushed lists (4.501 s measured, a listener whose queue is full) and, by the same lines, after 21.5 s where discovery is asked. Until then an agent that is back is not asked, although what it has counts as told at once (sends to a draining server have to end 0.55 s later); where discovery is asked, 21.5 s and the module's turn of 10 to 20 s come to more than four times askWithinUs (40 s).

Cause: Watcher::fetch dialled inside the time limit of the call that it was to carry, wait included (src/proxy/discovery.rs, call and fetch). Ruled out: a silent call on a connection that stays up, which is dropped with its connection and holds nothing up (the test before this one).

Change: connected() takes the kept connection or dials, within 250 ms for an agent (on this machine) and within CALL_TIMEOUT for a shared service; the call's limit counts from there. With the pause after a failure an agent's return is seen well inside 0.55 s. Rejected: relying on the kernel's repeated SYN, which comes after 1 s at the soonest.

The new test fails without the change: "pushed: given up only after 4.50 s".

--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -31,6 +31,9 @@
 const ASKED_WAIT: Duration = Duration::from_secs(20);
 /// How long a call may take beyond its wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long a connection to an agent on this machine may take to come up: even with the pause after a failure, a
+/// drain that the agent has at its return is known before sends have to end (0.5 s).
+const AGENT_DIAL: Duration = Duration::from_millis(250);
 const FIRST_BACKOFF: Duration = Duration::from_millis(50);
 const MOST_DOUBLINGS: u32 = 4;
 /// The largest list; thousands of entries fit in.
@@ -385,21 +388,31 @@
                 (format!("/discovery/hosts?after={after}&wait_ms={wait_ms}"), wait + CALL_TIMEOUT)
             }
         };
-        let body = timeout(limit, self.fetch(&target)).await.map_err(|_| DiscoveryError::Timeout)??;
+        let mut conn = self.connected().await?;
+        let body =
+            timeout(limit, self.fetch(&mut conn, &target)).await.map_err(|_| DiscoveryError::Timeout)??;
+        self.conn = Some(conn);
         self.translator.list(serde_json::from_slice(&body).map_err(DiscoveryError::Malformed)?)
     }
 
-    async fn fetch(&mut self, target: &str) -> Result<Bytes, DiscoveryError> {
-        let mut kept = self.conn.take();
-        if let Some(conn) = &mut kept
-            && conn.sender.ready().await.is_err()
-        {
-            kept = None;
-        }
-        let mut conn = match kept {
-            Some(conn) => conn,
-            None => dial(self.address).await.ok_or(DiscoveryError::Connection)?,
+    /// The kept connection, or a new one. Its time is its own: a dial that is never answered must not take the
+    /// time of a call that may wait.
+    async fn connected(&mut self) -> Result<Conn, DiscoveryError> {
+        let (kept, address) = (self.conn.take(), self.address);
+        let ready = async {
+            if let Some(mut conn) = kept
+                && conn.sender.ready().await.is_ok()
+            {
+                return Some(conn);
+            }
+            dial(address).await
         };
+        let limit = if self.asked.is_some() { CALL_TIMEOUT } else { AGENT_DIAL };
+        let conn = timeout(limit, ready).await.map_err(|_| DiscoveryError::Timeout)?;
+        conn.ok_or(DiscoveryError::Connection)
+    }
+
+    async fn fetch(&self, conn: &mut Conn, target: &str) -> Result<Bytes, DiscoveryError> {
         let mut request = Request::new(Empty::new());
         *request.uri_mut() = target.parse::<Uri>().unwrap_or_default();
         if let Some(host) = &self.host {
@@ -413,7 +426,6 @@
         if status != StatusCode::OK {
             return Err(DiscoveryError::Status(status));
         }
-        self.conn = Some(conn);
         Ok(body)
     }
 }
--- a/tests/proxy/watches.rs
+++ b/tests/proxy/watches.rs
@@ -186,6 +186,27 @@
     });
 }
 
+/// A dial that nobody answered took the whole time of the call: 4.5 s of an agent's, 21.5 s where discovery is asked.
+#[test]
+fn a_dial_that_never_comes_up_is_given_up_soon_and_made_anew() {
+    for (mode, bound) in [("pushed", 2), ("on_request", 10)] {
+        let (full, filler) = full_queue();
+        let pair = Pair::start();
+        let name = format!("cut-off-{mode}");
+        let mut config = config_at(&name, mode, full.local_addr().expect("an address"), &pair.before());
+        config["settings"]["balancers"] = 1.into();
+        let mut proxy = Proxy::start_with(&name, config);
+        let began = Instant::now();
+        proxy.next_line("discovery: ");
+        let elapsed = began.elapsed();
+        assert!(elapsed < Duration::from_secs(bound), "{mode}: given up only after {elapsed:?}");
+        drop(filler);
+        let agent = Agent::on(full);
+        agent.next().answer(&pair.change());
+        pair.in_force(&proxy, &agent, mode);
+    }
+}
+
 #[test]
 fn lists_are_read_in_every_shape() {
     let pair = Pair::start();
