Ask an agent that has failed again every 0.1 s instead of up to 0.8 s later

Symptom: with pushed lists, after an agent's outage, the next call came up to 0.8 s after the agent's return (0.804 and 0.807 s between two calls that the agent closed; answered 503, 10 calls in 8 s). What the agent has counts as told at once, watch open or not, so a send to a draining server is a fault from 0.55 s on.

Cause: Watcher::after_failure doubled the pause up to 50 ms x 2^4 (FIRST_BACKOFF, MOST_DOUBLINGS in src/proxy/discovery.rs). Growing pauses spare a service that many share; an agent serves this machine alone, and a shared service is asked in the module's turns, which this does not touch.

Change: one pause of 0.1 s, as the first one was. With the longest dial (0.25 s) the next call comes 0.35 s after a return at the latest. Rejected: 0.2 s, which leaves 0.1 s of reserve after a dial that is given up; 0.05 s, which buys 0.05 s for twice the price.

--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -34,8 +34,9 @@
 /// How long a connection to an agent on this machine may take to come up: even with the pause after a failure, a
 /// drain that the agent has at its return is known before sends have to end (0.5 s).
 const AGENT_DIAL: Duration = Duration::from_millis(250);
-const FIRST_BACKOFF: Duration = Duration::from_millis(50);
-const MOST_DOUBLINGS: u32 = 4;
+/// How long after a failed call an agent is asked again, however often it has failed. What it has counts as told
+/// whether or not a watch is open, and a drain among that ends sends 0.5 s later.
+const AGENT_PAUSE: Duration = Duration::from_millis(100);
 /// The largest list; thousands of entries fit in.
 const LIST_CAP: usize = 4 << 20;
 
@@ -371,12 +372,12 @@
         }
     }
 
-    /// The module decides when a service is asked again; an agent is asked again a little later each time.
+    /// The module decides when a service is asked again; an agent is asked again after a short pause.
     async fn after_failure(&mut self) {
         if self.asked.is_some() {
             return self.handle.tell(Message::Listed(Scope::Failed, Vec::new()));
         }
-        sleep(FIRST_BACKOFF * (1 << self.failures.min(MOST_DOUBLINGS))).await;
+        sleep(AGENT_PAUSE).await;
     }
 
     async fn call(&mut self) -> Result<List, DiscoveryError> {
--- a/tests/proxy/watches.rs
+++ b/tests/proxy/watches.rs
@@ -10,6 +10,8 @@
 
 /// What a missed change counts as told after, from the moment that a watch on a pushed list falls silent.
 const SILENCE: Duration = Duration::from_secs(6);
+/// Sends end this long after a drain is told, the slack of sockets left out.
+const DRAIN: Duration = Duration::from_millis(500);
 
 /// A call to discovery. The test answers it, or does not.
 struct Call {
@@ -186,6 +188,33 @@
     });
 }
 
+/// Calls that failed one after the other made the next wait for up to 0.8 s: longer than a drain may stay unknown
+/// once the agent has it.
+#[test]
+fn an_agent_that_returns_is_asked_before_a_drain_that_it_has_must_be_kept() {
+    let refusals: [&[u8]; 2] = [b"", b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"];
+    for (way, refusal) in refusals.into_iter().enumerate() {
+        let (agent, pair) = (Agent::start(), Pair::start());
+        let name = format!("outage-{way}");
+        let proxy = Proxy::start_with(&name, config_at(&name, "pushed", agent.address, &pair.before()));
+        let mut last = agent.next();
+        // The shortest of the later pauses: a busy machine makes some longer, but none shorter.
+        let mut pause = Duration::MAX;
+        for failed in 1..=8 {
+            last.write(refusal);
+            let _ = last.stream.shutdown(std::net::Shutdown::Both);
+            let call = agent.next();
+            if failed > 4 {
+                pause = pause.min(call.at - last.at);
+            }
+            last = call;
+        }
+        assert!(pause < DRAIN, "asked again only after {pause:?}");
+        last.answer(&pair.change());
+        pair.in_force(&proxy, &agent, "outage");
+    }
+}
+
 /// A dial that nobody answered took the whole time of the call: 4.5 s of an agent's, 21.5 s where discovery is asked.
 #[test]
 fn a_dial_that_never_comes_up_is_given_up_soon_and_made_anew() {
