Open a silent watch at a shared discovery anew at once, not in the module's next turn

What it missed counts as told 2 s after its wait is over, at 22 s.

Cause: Watcher::step and after_failure (src/proxy/discovery.rs) gave up the silent call in time, at 21.5 s and 1.5 s, but handed every failure to the module, whose turns (Balancer::resubscribe_later: discovery_turn, 0.1 s for each proxy up to askWithinUs, and as much again by chance) put 10 to 20 s before the next call. Ruled out: the time limit (a trickle does not extend it) and the old connection (it is dropped).

Change: a call that met silence (nothing whole in time, or a dial that never came up) is made anew at once, once in a row of failures; refusals, resets and a second silence go to the module as before. Rejected: telling the module and ringing by its own timer, since it can't tell silence from refusal by Membership::Failed and the turns were measured to be needed by a discovery that turns calls away; and repeating for as long as it is silent, which would be that storm.

At most one more call for each proxy and row of failures. Not measured: a fleet at a discovery so busy that it answers nobody in time.

--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -342,12 +342,18 @@
                 self.pass_on(list);
             }
             Err(error) => {
-                if self.failures == 0 {
+                let first = self.failures == 0;
+                if first {
                     log(format_args!("discovery: {error}"));
                 }
                 self.failures = self.failures.saturating_add(1);
-                (self.due, self.conn) = (false, None);
-                self.after_failure().await;
+                // The module's turns spare a service that turns calls away. One that says nothing at all has lost
+                // this call alone, and by its next turn what it missed would long count as told.
+                let at_once = first && self.asked.is_some() && matches!(error, DiscoveryError::Timeout);
+                (self.due, self.conn) = (at_once, None);
+                if !at_once {
+                    self.after_failure().await;
+                }
             }
         }
     }
--- a/tests/proxy/watches.rs
+++ b/tests/proxy/watches.rs
@@ -10,6 +10,10 @@
 
 /// What a missed change counts as told after, from the moment that a watch on a pushed list falls silent.
 const SILENCE: Duration = Duration::from_secs(6);
+/// How long a watch may wait where discovery is asked; what it missed counts as told 2 s after that.
+const ASKED_WAIT: Duration = Duration::from_secs(20);
+/// What discovery has counts as told this long after the signal that moves it.
+const MOVE: Duration = Duration::from_secs(4);
 /// Sends end this long after a drain is told, the slack of sockets left out.
 const DRAIN: Duration = Duration::from_millis(500);
 
@@ -188,6 +192,42 @@
     });
 }
 
+/// The module's turns, ten seconds and more with hundreds of proxies, came between a silent watch and the next.
+#[test]
+fn a_silent_watch_at_a_shared_discovery_is_opened_anew_before_its_news_counts_as_told() {
+    let told = ASKED_WAIT + Duration::from_secs(2);
+    thread::scope(|scope| {
+        for way in [0, 3] {
+            scope.spawn(move || a_silent_watch("on_request", false, way, told));
+        }
+    });
+}
+
+/// As above where SIGHUP has moved discovery and nothing comes from the new address at first.
+#[test]
+fn after_a_move_to_a_silent_discovery_it_is_asked_again_before_its_list_counts_as_told() {
+    for mode in ["pushed", "on_request"] {
+        let (old, new, pair) = (Agent::start(), Agent::start(), Pair::start());
+        let name = format!("silent-move-{mode}");
+        let mut config = config_at(&name, mode, old.address, &pair.before());
+        let mut proxy = Proxy::start_with(&name, config.clone());
+        // The module's own first call is made: what comes after the signal is the move's doing.
+        let _watch = old.next();
+        config["discovery"] = new.address.to_string().into();
+        write_config(&name, &config.to_string());
+        let signalled = Instant::now();
+        proxy.hang_up();
+        assert!(proxy.next_line("SIGHUP").contains("in force"));
+        let silent = new.next();
+        let again = new.next();
+        let elapsed = again.at - signalled;
+        assert!(elapsed < MOVE, "{mode}: asked again only {elapsed:?} after the signal");
+        assert_ne!(again.connection, silent.connection, "{mode}");
+        again.answer(&pair.after());
+        pair.in_force(&proxy, &new, mode);
+    }
+}
+
 /// Calls that failed one after the other made the next wait for up to 0.8 s: longer than a drain may stay unknown
 /// once the agent has it.
 #[test]
