Give errors of discovery and of its lists' entries types that say what to do

Need: an entry of a list that is passed over was described by a plain string, which did not name the entry; the errors of a call said what happened and not what an operator can do.

Change: EntryError (thiserror) in place of Result<_, String>, naming the entry's id, what is wrong and where to correct it; DiscoveryError's words are extended in the same way, and its hand-written Display goes. Rejected: one type for both, since a bad entry does not fail the call.

Tests: odd_entries_of_a_list_are_passed_over now reads the log's line for each of six odd entries; it fails without the change ("invalid type: null, expected struct RawMember" with no remedy). Behaviour is unchanged but for the log.

--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -15,10 +15,10 @@
 use serde::Deserialize;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
-use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
@@ -49,32 +49,50 @@
     pub address: SocketAddr,
 }
 
-/// Why a call to discovery brought nothing.
-#[derive(Debug)]
+/// Why a call to discovery brought nothing. The proxy goes on with the list that it has and asks again by itself.
+#[derive(Debug, Error)]
 pub enum DiscoveryError {
     /// No connection, or it broke.
+    #[error(
+        "the connection failed: see that discovery runs and listens at the `discovery` of the configuration"
+    )]
     Connection,
     /// Nothing came in time.
+    #[error(
+        "no answer in time: see whether discovery hangs, is cut off from this machine, or has too many callers"
+    )]
     Timeout,
     /// An answer other than 200.
+    #[error(
+        "answered {0}: see discovery's own log, and that `discovery` of the configuration names that service"
+    )]
     Status(StatusCode),
     /// Not the JSON that is wanted.
+    #[error(
+        "malformed list: {0}; see that `discovery` of the configuration names a service with the protocol's list"
+    )]
     Malformed(serde_json::Error),
 }
 
-impl fmt::Display for DiscoveryError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Connection => write!(f, "the connection failed"),
-            Self::Timeout => write!(f, "no answer in time"),
-            Self::Status(status) => write!(f, "answered {status}"),
-            Self::Malformed(error) => write!(f, "malformed list: {error}"),
-        }
-    }
+/// Why an entry of a list is passed over. The other entries of that list are used.
+#[derive(Debug, Error)]
+enum EntryError {
+    /// Not the fields of an entry.
+    #[error("{0}; it has to have the protocol's fields: correct it in discovery")]
+    Malformed(serde_json::Error),
+    /// `id`, and what stands for its address.
+    #[error("`{0}`: `host_port` is no IP address with a port: `{1}`; correct it in discovery")]
+    Address(String, String),
+    /// `id`, and a phase that the protocol does not have.
+    #[error("`{0}`: unknown phase `{1}`; discovery has to say active, leaving or left")]
+    Phase(String, String),
+    /// `id`, and a zone that the settings don't name.
+    #[error(
+        "`{0}`: unknown locality `{1}`; add it to `failureDomains` of the settings or correct it in discovery"
+    )]
+    Locality(String, String),
 }
 
-impl std::error::Error for DiscoveryError {}
-
 #[derive(Deserialize)]
 struct RawList {
     revision: u64,
@@ -190,18 +208,20 @@
         Ok(List { revision: raw.revision, complete: raw.complete, entries: entries.collect() })
     }
 
-    fn member(&mut self, member: Value) -> Result<Listed, String> {
-        let raw: RawMember = serde_json::from_value(member).map_err(|e| e.to_string())?;
-        let address = raw.host_port.parse();
-        let address = address.map_err(|_| format!("`{}` is no address", raw.host_port))?;
+    fn member(&mut self, member: Value) -> Result<Listed, EntryError> {
+        let raw: RawMember = serde_json::from_value(member).map_err(EntryError::Malformed)?;
+        let Ok(address) = raw.host_port.parse() else {
+            return Err(EntryError::Address(raw.id, raw.host_port));
+        };
         let readiness = match raw.phase.as_str() {
             "active" => Readiness::Ready,
             "leaving" => Readiness::Draining,
             "left" => Readiness::Gone,
-            other => return Err(format!("unknown phase `{other}`")),
+            _ => return Err(EntryError::Phase(raw.id, raw.phase)),
+        };
+        let Some(&zone) = self.zones.get(&raw.locality) else {
+            return Err(EntryError::Locality(raw.id, raw.locality));
         };
-        let zone = self.zones.get(&raw.locality).copied();
-        let zone = zone.ok_or_else(|| format!("unknown locality `{}`", raw.locality))?;
         // A kind that the settings don't name can still be sent to.
         let kind = self.kinds.get(&raw.flavor).copied().unwrap_or(0);
         let id = self.numbers.borrow_mut().number(&raw.id);
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -306,8 +306,21 @@
         odd("id", 7.into()),
         good,
     ];
-    let proxy = Proxy::start("odd", &discovery, &members);
+    let mut proxy = Proxy::start("odd", &discovery, &members);
     assert_eq!(proxy.client().ask(&request("read", "1", "")).status(), 200);
+    // Each is named in the log, with what is wrong and what to do.
+    let fields = "it has to have the protocol's fields: correct it in discovery";
+    for (problem, remedy) in [
+        ("invalid type: null", fields),
+        ("`s-odd`: `host_port` is no IP address with a port: `nowhere`", "correct it in discovery"),
+        ("`s-odd`: unknown phase `dancing`", "active, leaving or left"),
+        ("`s-odd`: unknown locality `mars`", "add it to `failureDomains` of the settings"),
+        ("expected u16", fields),
+        ("expected a string", fields),
+    ] {
+        let line = proxy.next_line("passing over");
+        assert!(line.contains(problem) && line.contains(remedy), "{line}");
+    }
 }
 
 #[test]
