Add src/group: proxies agree on promises by Raft, each yes on a majority's disks

Need: a ban that an operator was told is in force lives in one machine's $TMPDIR and is gone with it.

A group is the [group] table of the TOML file that GATESTAGE_CONFIG names (which may also hold state_dir and admin_addr; it wins over EDGE_CONFIG's JSON, unknown keys are errors with their line). Without it there is no thread, no listener and no file. The group has a thread and runtime of its own and a second thread that writes and syncs; its one face is group::start, Group::propose, bans and status.

Members are known by an identity drawn once for a disk, which is the Raft node id. A machine that lost its disk is another member: the leader sees it answer at its peer's address, takes it in as a learner, and once it has caught up puts it in the old one's place as a voter. Calls carry the identity they are meant for, so what was sent to the one that forgot is not taken. Whose a name is is decided by what answers at its configured address; a second machine of the name is refused. Rejected: ids from the configuration, which would let an empty disk vote again.

The first membership is made by the first voter by name, and only once every voter has said that it never took part and has the same voters configured; all others wait to be contacted. Rejected: each voter initializing with the same ids, which a machine with a lost disk would do again.

--- /dev/null
+++ b/src/group/server.rs
@@ -0,0 +1,132 @@
+//! The calls that a machine answers to its peers and to operators.
+
+use super::node::Node;
+use super::peers::{
+    BODY_CAP, FORMAT, FORMAT_HEADER, GROUP_HEADER, Hello, IDENTITY_HEADER, NODE_HEADER, Refusal,
+    SNAPSHOT_CAP, TO_HEADER, decode, encode, hex,
+};
+use super::propose::Question;
+use super::types::{Meta, Snapshot, Types, Vote};
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::{DefaultBodyLimit, State};
+use axum::http::{HeaderMap, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use openraft::raft::{AppendEntriesRequest, AppendEntriesResponse};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::sync::Arc;
+
+type Shared = State<Arc<Node>>;
+
+impl IntoResponse for Refusal {
+    fn into_response(self) -> Response {
+        let body = serde_json::to_vec(&self).unwrap_or_default();
+        (self.status(), [(header::CONTENT_TYPE, "application/json")], body).into_response()
+    }
+}
+
+/// What a machine answers.
+pub(super) fn router(node: Arc<Node>) -> Router {
+    Router::new()
+        .route("/group/append", post(append))
+        .route("/group/vote", post(vote))
+        .route("/group/snapshot", post(snapshot).layer(DefaultBodyLimit::max(SNAPSHOT_CAP)))
+        .route("/group/propose", post(propose))
+        .route("/group/read", post(read))
+        .route("/group/hello", post(hello))
+        .route("/group/identity", get(identity))
+        .route("/group/status", get(status))
+        .layer(DefaultBodyLimit::max(BODY_CAP))
+        .with_state(node)
+}
+
+/// Lets only calls in that are a member's or a configured peer's, meant for this machine, and few enough.
+async fn admit(node: &Node, headers: &HeaderMap) -> Result<(), Refusal> {
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let (format, group, caller) = (text(FORMAT_HEADER), text(GROUP_HEADER), text(NODE_HEADER));
+    let mine = &node.peers.mine;
+    if format != FORMAT.to_string() {
+        return Err(Refusal::OtherFormat { here: FORMAT, caller: format.to_owned() });
+    }
+    if group != mine.group {
+        return Err(Refusal::OtherGroup { here: mine.group.clone(), caller: group.to_owned() });
+    }
+    let identity = u64::from_str_radix(text(IDENTITY_HEADER), 16);
+    let identity = identity.map_err(|error| Refusal::Malformed(format!("{IDENTITY_HEADER}: {error}")))?;
+    node.verify(caller, identity).await?;
+    let to = text(TO_HEADER);
+    if !to.is_empty() && to != hex(mine.identity) {
+        return Err(Refusal::NotMe { wanted: to.to_owned(), here: hex(mine.identity) });
+    }
+    Ok(())
+}
+
+fn question<T: DeserializeOwned>(body: &Bytes) -> Result<T, Refusal> {
+    decode(body).map_err(|error| Refusal::Malformed(error.to_string()))
+}
+
+fn answer<T: Serialize, E: ToString>(done: Result<T, E>) -> Result<Vec<u8>, Refusal> {
+    let value = done.map_err(|error| Refusal::Stopped(error.to_string()))?;
+    encode(&value).map_err(|error| Refusal::Stopped(error.to_string()))
+}
+
+async fn append(State(node): Shared, headers: HeaderMap, body: Bytes) -> Result<Vec<u8>, Refusal> {
+    admit(&node, &headers).await?;
+    let entries: AppendEntriesRequest<Types> = question(&body)?;
+    // The leader's word counts when it comes, not once a slow disk has its entries.
+    if node.raft.metrics().borrow().vote == entries.vote {
+        node.patience.heard();
+    }
+    let done = node.raft.append_entries(entries).await;
+    if done.as_ref().is_ok_and(|done| !matches!(done, AppendEntriesResponse::HigherVote(_))) {
+        node.patience.heard();
+    }
+    answer(done)
+}
+
+async fn vote(State(node): Shared, headers: HeaderMap, body: Bytes) -> Result<Vec<u8>, Refusal> {
+    admit(&node, &headers).await?;
+    let done = node.raft.vote(question(&body)?).await;
+    if done.as_ref().is_ok_and(|done| done.vote_granted) {
+        node.patience.wait();
+    }
+    answer(done)
+}
+
+async fn snapshot(State(node): Shared, headers: HeaderMap, body: Bytes) -> Result<Vec<u8>, Refusal> {
+    admit(&node, &headers).await?;
+    let (vote, meta, bytes): (Vote, Meta, Vec<u8>) = question(&body)?;
+    let snapshot = Snapshot { meta, snapshot: Box::new(bytes) };
+    let done = node.raft.install_full_snapshot(vote, snapshot).await;
+    node.patience.heard();
+    answer(done)
+}
+
+async fn propose(State(node): Shared, headers: HeaderMap, body: Bytes) -> Result<Vec<u8>, Refusal> {
+    admit(&node, &headers).await?;
+    let asked: Question = question(&body)?;
+    answer::<_, Refusal>(Ok(node.lead(asked).await?))
+}
+
+async fn read(State(node): Shared, headers: HeaderMap) -> Result<Vec<u8>, Refusal> {
+    admit(&node, &headers).await?;
+    answer::<_, Refusal>(Ok(node.confirmed().await?))
+}
+
+async fn hello(State(node): Shared, headers: HeaderMap) -> Result<Vec<u8>, Refusal> {
+    admit(&node, &headers).await?;
+    let voters = node.config.voter_names().into_iter().collect();
+    let hello = Hello { identity: node.peers.mine.identity, fresh: node.disk.is_fresh(), voters };
+    answer::<_, Refusal>(Ok(hello))
+}
+
+async fn identity(State(node): Shared) -> String {
+    hex(node.peers.mine.identity)
+}
+
+async fn status(State(node): Shared) -> impl IntoResponse {
+    let body = serde_json::to_vec_pretty(&node.report()).unwrap_or_default();
+    ([(header::CONTENT_TYPE, "application/json")], body)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod api;
 pub mod balancer;
+pub mod group;
 pub mod proxy;
 pub mod registry;
 pub mod rig;
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -1,6 +1,8 @@
-//! What the proxy is told at its start: the file that `EDGE_CONFIG` names, and the environment.
+//! What the proxy is told at its start: the file that `EDGE_CONFIG` names, the TOML file beside it that
+//! `GATESTAGE_CONFIG` may name, and the environment.
 
 use crate::api::{Micros, Settings, SettingsError};
+use crate::group::{GroupConfig, GroupError};
 use crate::wire::parse_settings;
 use serde::Deserialize;
 use serde_json::Value;
@@ -29,6 +31,10 @@
     Settings(SettingsError),
     /// A key that the configuration in force has is missing.
     Incomplete(String),
+    /// The TOML file beside it is not what is wanted; the message names the line.
+    Beside(PathBuf, toml::de::Error),
+    /// Its group makes no sense.
+    Group(PathBuf, GroupError),
 }
 
 impl fmt::Display for ConfigError {
@@ -40,6 +46,8 @@
             Self::Address(field, given) => write!(f, "`{field}` is no address: `{given}`"),
             Self::Settings(error) => write!(f, "{error}"),
             Self::Incomplete(key) => write!(f, "`{key}` is missing"),
+            Self::Beside(path, error) => write!(f, "{}: {error}", path.display()),
+            Self::Group(path, error) => write!(f, "{}: {error}", path.display()),
         }
     }
 }
@@ -75,6 +83,8 @@
     /// Where what the module learns is kept through a crash (`state_dir`, or `GATESTAGE_STATE_DIR`); `None`:
     /// nowhere, and every start without a predecessor is cold, as before this setting existed.
     pub state_dir: Option<PathBuf>,
+    /// The group that this proxy makes its promises with; `None`: it knows of no other.
+    pub group: Option<GroupConfig>,
     /// The list of backends as last known, in discovery's form.
     pub known: Value,
     /// The module's settings.
@@ -114,6 +124,29 @@
     settings: Value,
 }
 
+/// The TOML file that `GATESTAGE_CONFIG` names, beside the JSON of `EDGE_CONFIG`: it wins where both say something.
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields)]
+struct Beside {
+    state_dir: Option<PathBuf>,
+    admin_addr: Option<SocketAddr>,
+    group: Option<GroupConfig>,
+}
+
+impl Beside {
+    fn read(path: PathBuf) -> Result<Self, ConfigError> {
+        let text = match fs::read_to_string(&path) {
+            Ok(text) => text,
+            Err(error) => return Err(ConfigError::Unreadable(path, error)),
+        };
+        let beside: Self = toml::from_str(&text).map_err(|e| ConfigError::Beside(path.clone(), e))?;
+        if let Some(group) = &beside.group {
+            group.check(&text).map_err(|e| ConfigError::Group(path, e))?;
+        }
+        Ok(beside)
+    }
+}
+
 #[derive(Deserialize, Default)]
 struct RawLimits {
     #[serde(default)]
@@ -165,7 +198,15 @@
     pub fn from_env() -> Result<Self, ConfigError> {
         let path = PathBuf::from(env::var_os("EDGE_CONFIG").ok_or(ConfigError::Missing("EDGE_CONFIG"))?);
         let text = fs::read(&path).map_err(|e| ConfigError::Unreadable(path, e))?;
-        Self::parse(&text, |name| env::var(name).ok())
+        let config = Self::parse(&text, |name| env::var(name).ok())?;
+        match env::var_os("GATESTAGE_CONFIG") {
+            Some(path) => Ok(config.beside(Beside::read(PathBuf::from(path))?)),
+            None => Ok(config),
+        }
+    }
+
+    fn beside(self, Beside { state_dir, admin_addr, group }: Beside) -> Self {
+        Self { state_dir: state_dir.or(self.state_dir), admin: admin_addr.or(self.admin), group, ..self }
     }
 
     /// Reads the file again, to take the place of this configuration. A file that lacks what this one has is not
@@ -214,6 +255,7 @@
             },
             seed: seed(&raw.seed),
             state_dir: raw.state_dir.or_else(|| variable("GATESTAGE_STATE_DIR").map(PathBuf::from)),
+            group: None,
             known: raw.known,
             settings,
             names: Names {
--- a/src/proxy/program.rs
+++ b/src/proxy/program.rs
@@ -90,6 +90,7 @@
 
 async fn run(mut config: Config, mut signals: Signals) -> Result<(), Box<dyn Error>> {
     let clock = Clock::start();
+    let _group = config.group.take().map(crate::group::start).transpose()?;
     let (listener, predecessor) = open_door(&config)?;
     let listener = Rc::new(listener);
     log(format_args!("{} listens on {}", config.name, listener.local_addr()?));
