Make the operators' bans promises of the group, known before the first request

Need: with a group an operator calls once, and a yes outlives the machine.

maint-on is in force at the called proxy at once; 200 once a majority has it on disk, else 400 within 0.8 s of the second that is owed, saying how many voters are known to hold it, whether it may still come into force and what to do. A ban answered 400 stays in force at the called proxy until the group has it or has given it back since. maint-off first confirms with a majority that the leader leads, and is not even written without: it changes nothing then. Rejected: writing it and telling the operator that it may still come; nobody would know when. A call carries a number and counts once, so that it can be sent again to the next leader.

What the group agrees on goes to the module as Message::Maintenance and is stored in $TMPDIR for another process of the proxy, as before. A proxy that starts in a group gives the module no list (/up 503) until a leader that a majority follows has confirmed the bans, or 3 s have passed, which it logs; until then the bans of its own log hold, those among them that were never committed too.

Tests: 11 with three processes of the program.

--- a/src/proxy/admin.rs
+++ b/src/proxy/admin.rs
@@ -6,15 +6,17 @@
 use super::handover::Bans;
 use super::log;
 use crate::api::BackendId;
+use crate::group::{Group, Promise};
+use serde_json::json;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// The longest call.
 const LINE_CAP: usize = 256;
@@ -28,6 +30,12 @@
 /// How often the stored bans are read: another process of this proxy may have taken a call. What was called
 /// there is in force here long before the grace for a drain is over.
 const BANS_EVERY: Duration = Duration::from_millis(100);
+/// How long the group is waited for of the second that an answer is owed in, and how long after its yes until that
+/// has come to this proxy too.
+const GROUP_WITHIN: Duration = Duration::from_millis(800);
+const APPLIED_WITHIN: Duration = Duration::from_millis(100);
+/// How long a proxy that starts waits for its group's bans before it takes clients without.
+const KNOWN_WITHIN: Duration = Duration::from_secs(3);
 
 /// What an operator asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -77,6 +85,18 @@
     bans: Bans,
     /// The bans that the module knows of.
     in_force: RefCell<BTreeSet<String>>,
+    group: Option<Group>,
+    /// The bans that were called here and that the group's do not hold yet.
+    called: RefCell<BTreeMap<String, Called>>,
+}
+
+/// A ban that was called here, in a group.
+#[derive(Clone, Copy)]
+struct Called {
+    /// What the group's log had come to here.
+    since: u64,
+    /// The entry that holds it, once a majority has that.
+    agreed: Option<u64>,
 }
 
 impl Operations {
@@ -88,18 +108,104 @@
         handle: Handle,
         numbers: Rc<RefCell<Numbers>>,
         bans: Bans,
+        group: Option<Group>,
     ) -> Rc<Self> {
-        let operations = Self { drain, held, handle, numbers, bans, in_force: RefCell::default() };
+        let (in_force, called) = (RefCell::default(), RefCell::default());
+        let operations = Self { drain, held, handle, numbers, bans, in_force, group, called };
         operations.follow();
         Rc::new(operations)
     }
 
-    /// Takes over what is stored.
+    /// Whether this proxy makes its promises with a group.
+    #[must_use]
+    pub fn in_group(&self) -> bool {
+        self.group.is_some()
+    }
+
+    /// Puts in force what is to be.
     fn follow(&self) {
-        let Some(stored) = self.bans.read() else { return };
-        let known = self.in_force.replace(stored.clone());
-        for id in known.symmetric_difference(&stored) {
-            self.tell(id, stored.contains(id), None);
+        let Some(wanted) = self.wanted() else { return };
+        let known = self.in_force.replace(wanted.clone());
+        for id in known.symmetric_difference(&wanted) {
+            self.put_in_force(id, wanted.contains(id));
+        }
+    }
+
+    /// The bans that are to be in force: what is stored; in a group what that has agreed on and what was called
+    /// here, and what is stored only until the group's bans are known.
+    fn wanted(&self) -> Option<BTreeSet<String>> {
+        let Some(group) = &self.group else { return self.bans.read() };
+        let agreed = group.bans().borrow().clone();
+        self.called.borrow_mut().retain(|id, called| {
+            let came = called.agreed.is_some_and(|index| agreed.index >= index) || agreed.banned.contains(id);
+            !came && agreed.given_back.get(id).is_none_or(|&at| at <= called.since)
+        });
+        let mut wanted = agreed.banned.clone();
+        wanted.extend(self.called.borrow().keys().cloned());
+        if !agreed.known {
+            wanted.extend(self.bans.read().unwrap_or_default());
+        }
+        Some(wanted)
+    }
+
+    /// Tells the module of a ban or its end, and in a group says so once it is in force.
+    fn put_in_force(&self, id: &str, out: bool) {
+        let Some(group) = &self.group else { return self.tell(id, out, None) };
+        let (done, is_done) = oneshot::channel();
+        self.tell(id, out, Some(done));
+        let agreed = group.bans().borrow().clone();
+        let event = json!({"event": "ban_in_force", "node": group.name(), "term": agreed.term,
+                           "index": agreed.index, "backend": id, "on": out});
+        spawn_local(async move {
+            if is_done.await.is_ok() {
+                log(format_args!("{event}"));
+            }
+        });
+    }
+
+    /// Follows the group for as long as the proxy runs. What it has agreed on is stored as well: another process of
+    /// this proxy reads it there.
+    pub async fn follow_group(self: Rc<Self>) {
+        let Some(group) = &self.group else { return };
+        let mut agreed = group.bans();
+        loop {
+            let known = agreed.borrow_and_update().known;
+            self.follow();
+            if known {
+                self.store_all();
+            }
+            if agreed.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Stores the bans in force, and no others.
+    fn store_all(&self) {
+        let (stored, wanted) = (self.bans.read().unwrap_or_default(), self.in_force.borrow());
+        for id in stored.symmetric_difference(&wanted) {
+            let done = if wanted.contains(id) { self.bans.store(id) } else { self.bans.remove(id) };
+            if let Err(error) = done {
+                log(format_args!(
+                    "the ban of {id} can't be stored for another process of this proxy: {error}"
+                ));
+            }
+        }
+    }
+
+    /// Waits until the group's bans are known and in force, but not for long: a proxy that nobody can tell still
+    /// serves, on the bans that it has itself.
+    pub async fn wait_for_group(&self) {
+        let Some(group) = &self.group else { return };
+        let mut agreed = group.bans();
+        let known = timeout(KNOWN_WITHIN, agreed.wait_for(|bans| bans.known)).await.is_ok();
+        self.follow();
+        if !known {
+            let event = json!({"event": "group_unknown", "node": group.name(),
+                "waited_ms": KNOWN_WITHIN.as_millis() as u64, "bans": self.in_force.borrow().len(),
+                "why": "no leader that a majority follows was reached",
+                "do": "clients are taken on the bans of this machine alone; see that a majority of the voters runs"});
+            log(format_args!("{event}"));
         }
     }
 
@@ -121,6 +227,9 @@
         if self.numbers.borrow().find(id).is_none() {
             return Err("no such backend was ever listed".into());
         }
+        if let Some(group) = &self.group {
+            return self.maintain_in_group(group, id, out).await;
+        }
         let stored = if out { self.bans.store(id) } else { self.bans.remove(id) };
         stored.map_err(|error| format!("cannot be stored: {error}"))?;
         if out {
@@ -134,6 +243,35 @@
         Ok(if out { "nothing more goes there" } else { "it is used again" })
     }
 
+    /// A ban is in force here at once, and the answer is yes once a majority of the group has it on disk. Giving
+    /// back changes nothing before that.
+    async fn maintain_in_group(&self, group: &Group, id: &str, out: bool) -> Result<&'static str, String> {
+        let backend = id.to_owned();
+        let promise = if out { Promise::Ban { backend } } else { Promise::GiveBack { backend } };
+        if out {
+            let since = group.bans().borrow().index;
+            self.called.borrow_mut().insert(id.to_owned(), Called { since, agreed: None });
+            self.follow();
+            self.bans.store(id).map_err(|error| format!("cannot be stored: {error}"))?;
+        }
+        let answer = group.propose(promise, GROUP_WITHIN).await;
+        let committed = match answer {
+            Err(error) if out => return Err(format!("in force at this proxy alone: {error}")),
+            Err(error) => return Err(error.to_string()),
+            Ok(committed) => committed,
+        };
+        if !out {
+            self.called.borrow_mut().remove(id);
+        } else if let Some(called) = self.called.borrow_mut().get_mut(id) {
+            called.agreed = Some(committed.index);
+        }
+        let mut agreed = group.bans();
+        let applied = agreed.wait_for(|bans| bans.index >= committed.index);
+        let _ = timeout_at(Instant::now() + APPLIED_WITHIN, applied).await;
+        self.follow();
+        Ok(if out { "nothing more goes there, at any proxy of the group" } else { "the group uses it again" })
+    }
+
     /// Carries a call out. Its answer says yes only once it is in force.
     async fn carry_out(&self, call: &Call) -> Result<&'static str, String> {
         match call {
--- a/src/proxy/program.rs
+++ b/src/proxy/program.rs
@@ -90,7 +90,12 @@
 
 async fn run(mut config: Config, mut signals: Signals) -> Result<(), Box<dyn Error>> {
     let clock = Clock::start();
-    let _group = config.group.take().map(crate::group::start).transpose()?;
+    // Another process of this proxy reads the bans in the folder that both share; without a place for calls there
+    // is none.
+    let private =
+        config.group.as_ref().filter(|_| config.admin.is_none()).map(|group| group.state_dir.clone());
+    let bans = private.map_or_else(Bans::shared, |folder| Bans::within(&folder));
+    let group = config.group.take().map(crate::group::start).transpose()?;
     let (listener, predecessor) = open_door(&config)?;
     let listener = Rc::new(listener);
     log(format_args!("{} listens on {}", config.name, listener.local_addr()?));
@@ -127,11 +132,20 @@
         Watcher::new(config.discovery, translator, handle.clone(), Rc::clone(&held), subscriptions);
     let drain = Drain::new();
     // What the operators have taken out of use is told before any list.
-    let operations = config.admin.map(|address| {
+    let operations = (config.admin.is_some() || group.is_some()).then(|| {
         let (drain, held, handle) = (Rc::clone(&drain), Rc::clone(&held), handle.clone());
-        (address, Operations::new(drain, held, handle, Rc::clone(&numbers), Bans::shared()))
+        Operations::new(drain, held, handle, Rc::clone(&numbers), bans, group)
     });
-    watcher.start_from(config.known.take());
+    // A predecessor has told what is banned; a proxy that starts alone waits for its group before any list.
+    let waits = operations.as_ref().filter(|o| o.in_group() && predecessor.is_none()).map(Rc::clone);
+    let known = config.known.take();
+    let waits = match waits {
+        Some(operations) => Some((operations, known)),
+        None => {
+            watcher.start_from(known);
+            None
+        }
+    };
     let clients = Clients::new(handle.clone(), clock, &config, held, Rc::clone(&drain), transfers);
     let most = Held { clients: config.client_sockets, backends: config.backend_sockets };
     let (door, both) = (Rc::clone(&listener), (Rc::clone(&clients), Rc::clone(&fleet)));
@@ -139,14 +153,24 @@
 
     let mut driver = tokio::task::spawn_local(driver.run());
     let (discovery, moves) = watch::channel((config.discovery, config.names.clone()));
-    tokio::task::spawn_local(watcher.run(moves));
+    match waits {
+        None => tokio::task::spawn_local(watcher.run(moves)),
+        Some((operations, known)) => tokio::task::spawn_local(async move {
+            operations.wait_for_group().await;
+            watcher.start_from(known);
+            watcher.run(moves).await;
+        }),
+    };
     tokio::task::spawn_local(Rc::clone(&fleet).sweep());
     keeper.iter().for_each(|keeper| _ = tokio::task::spawn_local(Rc::clone(keeper).keep()));
     let accept = tokio::task::spawn_local(Rc::clone(&clients).accept(listener));
-    if let Some((address, operations)) = operations {
+    if let Some(operations) = &operations {
+        tokio::task::spawn_local(Rc::clone(operations).watch_bans());
+        tokio::task::spawn_local(Rc::clone(operations).follow_group());
+    }
+    if let (Some(address), Some(operations)) = (config.admin, operations) {
         let listener = listen(address, false).map_err(|e| format!("cannot listen on {address}: {e}"))?;
         log(format_args!("operators call at {}", listener.local_addr()?));
-        tokio::task::spawn_local(Rc::clone(&operations).watch_bans());
         tokio::task::spawn_local(operations.serve(listener));
         predecessor.into_iter().for_each(|other| company.follow(other));
         tokio::task::spawn_local(Rc::clone(&company).serve());
--- /dev/null
+++ b/tests/group.rs
@@ -0,0 +1,533 @@
+//! Groups of proxies as processes: what an operator was told yes to outlives machines, disks and the leader. Every
+//! wait is for an event and bounded by [`rig::PATIENCE`].
+
+#[path = "proxy/rig.rs"]
+#[allow(dead_code)]
+mod rig;
+
+use rig::{Backend, Discovery, PATIENCE, entry, ok, read_message, request};
+use serde_json::{Value, json};
+use std::io::{BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+use std::{env, fs, thread};
+
+/// Backends that every proxy is told of: the first is asked, the others are banned and given back.
+const BACKENDS: usize = 8;
+const UP: &str = "GET /up HTTP/1.1\r\nHost: g\r\nConnection: close\r\n\r\n";
+
+/// An address of this machine's own: a port given up on an address that others use may be taken before the program
+/// listens there, by a connection on its way out if by nobody else.
+fn own_ip() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let pid = std::process::id();
+    let (high, low) = ((pid / 250 % 250) as u8, (pid % 250) as u8);
+    Ipv4Addr::new(127, 1 + low, 1 + high, NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
+/// Free ports there, each another.
+fn free_ports<const N: usize>(ip: Ipv4Addr) -> [SocketAddr; N] {
+    let held = [(); N].map(|()| TcpListener::bind((ip, 0)).expect("a port"));
+    held.each_ref().map(|listener| listener.local_addr().expect("an address"))
+}
+
+/// Waits for `what`, for as long as a test may take.
+fn wait_for<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + PATIENCE;
+    while Instant::now() < end {
+        if let Some(found) = look() {
+            return found;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    panic!("waited in vain: {what}");
+}
+
+/// One request on a connection of its own; `None` where nobody answers.
+fn http(to: SocketAddr, text: impl AsRef<[u8]>) -> Option<rig::Seen> {
+    let mut stream = TcpStream::connect(to).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    stream.write_all(text.as_ref()).ok()?;
+    read_message(&mut BufReader::new(stream))
+}
+
+/// One proxy of a group.
+struct Machine {
+    home: PathBuf,
+    address: SocketAddr,
+    admin: SocketAddr,
+    listen: SocketAddr,
+    child: Option<Child>,
+    _discovery: Discovery,
+}
+
+impl Machine {
+    fn prepare(test: &str, me: usize, backends: &[SocketAddr]) -> Self {
+        let home = env::temp_dir().join(format!("gatestage-group-{}-{test}-{me}", std::process::id()));
+        let _ = fs::remove_dir_all(&home);
+        fs::create_dir_all(home.join("tmp")).expect("a folder");
+        let discovery = Discovery::start();
+        let [address, admin, listen] = free_ports(own_ip());
+        let members: Vec<Value> =
+            backends.iter().enumerate().map(|(i, at)| entry(&format!("b-{i}"), *at, "active", 1)).collect();
+        let mut config = rig::config(&format!("p-{me}"), &discovery);
+        config["listen"] = json!(address.to_string());
+        config["admin_addr"] = json!(admin.to_string());
+        config["known"] = json!({"revision": 1, "complete": true, "members": members});
+        fs::write(home.join("edge.json"), config.to_string()).expect("a configuration");
+        Self { home, address, admin, listen, child: None, _discovery: discovery }
+    }
+
+    /// Writes its group's configuration: all of these machines are voters.
+    fn configure(&self, me: usize, group: &str, listens: &[SocketAddr]) {
+        let voters: Vec<String> = (0..listens.len()).map(|i| format!("\"p-{i}\"")).collect();
+        let mut text = format!(
+            "[group]\nname = \"{group}\"\nnode = \"p-{me}\"\nlisten = \"{}\"\nstate_dir = \"{}\"\nvoters = [{}]\n",
+            self.listen,
+            self.home.join("state").display(),
+            voters.join(", ")
+        );
+        for (i, listen) in listens.iter().enumerate().filter(|(i, _)| *i != me) {
+            text += &format!("[[group.peer]]\nname = \"p-{i}\"\naddress = \"{listen}\"\n");
+        }
+        fs::write(self.home.join("group.toml"), text).expect("a configuration");
+    }
+
+    fn start(&mut self) {
+        let log = fs::File::options().create(true).append(true).open(self.home.join("log")).expect("a log");
+        let child = Command::new(env!("CARGO_BIN_EXE_gatestage"))
+            .arg("proxy")
+            .env("EDGE_CONFIG", self.home.join("edge.json"))
+            .env("GATESTAGE_CONFIG", self.home.join("group.toml"))
+            .env("TMPDIR", self.home.join("tmp"))
+            .stderr(log)
+            .stdout(Stdio::null())
+            .spawn();
+        self.child = Some(child.expect("the program starts"));
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Kills it and takes away all that it had on disk.
+    fn lose_disk(&mut self) {
+        self.kill();
+        fs::remove_dir_all(self.home.join("state")).expect("its state goes");
+        fs::remove_dir_all(self.home.join("tmp")).expect("its bans go");
+        fs::create_dir_all(self.home.join("tmp")).expect("an empty folder");
+    }
+
+    fn log(&self) -> String {
+        fs::read_to_string(self.home.join("log")).unwrap_or_default()
+    }
+
+    /// Its log's events of one kind.
+    fn events(&self, kind: &str) -> Vec<Value> {
+        let log = self.log();
+        let events = log.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        events.filter(|event| event["event"] == kind).collect()
+    }
+
+    /// Makes an operator's call; `None` where nobody answers.
+    fn try_call(&self, line: &str) -> Option<String> {
+        let mut stream = TcpStream::connect(self.admin).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).ok()?;
+        stream.write_all(format!("{line}\n").as_bytes()).ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).ok()?;
+        (!answer.is_empty()).then(|| answer.trim().to_owned())
+    }
+
+    fn call(&self, line: &str) -> String {
+        self.try_call(line).expect("an answer")
+    }
+
+    /// Makes a call again until the answer is yes: a machine under load may be late with it.
+    fn yes(&self, line: &str) {
+        wait_for(line, || self.try_call(line)?.starts_with("200 ").then_some(()));
+    }
+
+    fn signal(&self, which: &str) {
+        let pid = self.child.as_ref().expect("it runs").id().to_string();
+        assert!(Command::new("kill").args([which, &pid]).status().expect("kill runs").success());
+    }
+
+    fn status(&self) -> Option<Value> {
+        let seen = http(self.listen, "GET /group/status HTTP/1.1\r\nHost: g\r\nConnection: close\r\n\r\n")?;
+        serde_json::from_slice(&seen.body).ok()
+    }
+
+    fn is_up(&self) -> bool {
+        http(self.address, UP).is_some_and(|seen| seen.status() == 200)
+    }
+
+    /// Which bans it holds, once they are the group's.
+    fn bans(&self) -> Option<Vec<String>> {
+        let status = self.status().filter(|status| status["bans_known"] == true)?;
+        Some(status["bans"].as_array()?.iter().filter_map(|b| b.as_str().map(str::to_owned)).collect())
+    }
+}
+
+impl Drop for Machine {
+    fn drop(&mut self) {
+        self.kill();
+        if !thread::panicking() {
+            let _ = fs::remove_dir_all(&self.home);
+        }
+    }
+}
+
+/// What takes a little, so that requests which come at once go to different backends.
+fn served_slowly() -> rig::Reply {
+    thread::sleep(Duration::from_millis(4));
+    ok("yes")
+}
+
+/// Three proxies, all voters.
+struct Three {
+    machines: Vec<Machine>,
+    backends: Vec<Backend>,
+}
+
+impl Three {
+    fn prepare(test: &str) -> Self {
+        let backends: Vec<Backend> = (0..BACKENDS).map(|_| Backend::start(|_| served_slowly())).collect();
+        let addresses: Vec<SocketAddr> = backends.iter().map(|b| b.address).collect();
+        let machines: Vec<Machine> = (0..3).map(|me| Machine::prepare(test, me, &addresses)).collect();
+        let listens: Vec<SocketAddr> = machines.iter().map(|m| m.listen).collect();
+        machines.iter().enumerate().for_each(|(me, m)| m.configure(me, "region-a", &listens));
+        Self { machines, backends }
+    }
+
+    fn start(test: &str) -> Self {
+        let mut three = Self::prepare(test);
+        three.machines.iter_mut().for_each(Machine::start);
+        three.machines.iter().for_each(|m| wait_for("a proxy takes clients", || m.is_up().then_some(())));
+        three.leader();
+        three
+    }
+
+    /// The leader's place, once all that run agree on it.
+    fn leader(&self) -> usize {
+        wait_for("a leader that all agree on", || {
+            let running = self.machines.iter().filter(|m| m.child.is_some());
+            let mut leaders: Vec<Option<String>> = running
+                .map(|m| m.status().and_then(|s| s["status"]["leader"].as_str().map(str::to_owned)))
+                .collect();
+            leaders.dedup();
+            let [Some(leader)] = leaders.as_slice() else { return None };
+            let place = leader.strip_prefix("p-")?.parse::<usize>().ok()?;
+            self.machines[place].child.is_some().then_some(place)
+        })
+    }
+
+    fn all_hold(&self, wanted: &[&str]) {
+        for machine in self.machines.iter().filter(|m| m.child.is_some()) {
+            wait_for(&format!("the bans {wanted:?} at {}", machine.home.display()), || {
+                (machine.bans()? == wanted).then_some(())
+            });
+        }
+    }
+}
+
+#[test]
+fn a_ban_called_at_one_proxy_is_in_force_at_all() {
+    let three = Three::start("one");
+    let follower = (three.leader() + 1) % 3;
+    three.machines[follower].yes("maint-on b-3");
+    three.all_hold(&["b-3"]);
+    assert!(three.machines[follower].call("maint-on b-99").starts_with("400 no such backend"));
+    three.machines[three.leader()].yes("maint-off b-3");
+    three.all_hold(&[]);
+}
+
+/// How often each backend was sent one of the test's requests since it was last asked.
+fn requests_seen(backends: &[Backend]) -> Vec<usize> {
+    backends.iter().map(|b| b.seen.try_iter().filter(|seen| seen.head.contains("/read")).count()).collect()
+}
+
+/// Sends requests to a proxy, some at a time so that they spread over all backends that may be sent to, from before
+/// it listens until enough were served; none waits for `/up`.
+fn press(machine: &Machine) {
+    let (admin, address) = (machine.admin, machine.address);
+    let some = move |place: usize| {
+        let mut served = 0;
+        wait_for("requests that are served", || {
+            let text = request("read", &format!("{admin}-{place}-{served}"), "");
+            served += usize::from(http(address, &text)?.status() == 200);
+            (served >= 8).then_some(())
+        });
+    };
+    thread::scope(|scope| (0..8).for_each(|place| _ = scope.spawn(move || some(place))));
+}
+
+#[test]
+fn no_yes_is_lost_with_the_leader_and_the_next_one_comes_soon() {
+    let mut three = Three::start("leader");
+    let leader = three.leader();
+    let (caller, mut killed, mut gap) = ((leader + 1) % 3, None, None);
+    let mut expected = [false; BACKENDS];
+    for turn in 0..60 {
+        let (backend, on) = (1 + turn % (BACKENDS - 1), (turn / (BACKENDS - 1)) % 2 == 0);
+        let line = format!("maint-{} b-{backend}", if on { "on" } else { "off" });
+        if turn == 25 {
+            three.machines[leader].kill();
+            killed = Some(Instant::now());
+        }
+        // What was not answered with yes is asked again until it is: then what holds in the end is known.
+        three.machines[caller].yes(&line);
+        if let Some(killed) = killed {
+            gap.get_or_insert_with(|| killed.elapsed());
+        }
+        expected[backend] = on;
+    }
+    let gap = gap.expect("a yes after the kill");
+    eprintln!("next yes {} ms after the leader was killed", gap.as_millis());
+    assert!(gap < Duration::from_secs(8), "the next yes came after {gap:?}");
+    three.machines[leader].start();
+    let names: Vec<String> = (0..BACKENDS).filter(|&b| expected[b]).map(|b| format!("b-{b}")).collect();
+    three.all_hold(&names.iter().map(String::as_str).collect::<Vec<_>>());
+}
+
+#[test]
+fn a_voter_that_lost_its_disk_is_replaced_and_then_another_may_be_lost() {
+    let mut three = Three::start("disk");
+    let first = (three.leader() + 1) % 3;
+    let second = (first + 1) % 3;
+    three.machines[first].yes("maint-on b-1");
+    for (lost, ban) in [(first, "b-2"), (second, "b-3")] {
+        let before = three.machines[lost].status().expect("a status")["identity"].clone();
+        three.machines[lost].lose_disk();
+        // The other two are a majority, the second time only because the first was replaced.
+        let caller = (0..3).find(|m| three.machines[*m].child.is_some()).expect("one that runs");
+        three.machines[caller].yes(&format!("maint-on {ban}"));
+        requests_seen(&three.backends);
+        // While nobody tells it, it takes no client.
+        let others: Vec<usize> = (0..3).filter(|&m| m != lost).collect();
+        others.iter().for_each(|&m| three.machines[m].signal("-STOP"));
+        three.machines[lost].start();
+        let machine = &three.machines[lost];
+        wait_for("it listens", || http(machine.address, UP).map(|seen| assert_ne!(seen.status(), 200)));
+        others.iter().for_each(|&m| three.machines[m].signal("-CONT"));
+        press(machine);
+        let seen = requests_seen(&three.backends);
+        assert_eq!(seen[1] + seen[2], 0, "sent to a banned backend from an empty disk: {seen:?}");
+        let back = wait_for("the machine votes again", || {
+            let status = three.machines[lost].status()?;
+            matches!(status["status"]["state"].as_str(), Some("follower" | "leader")).then_some(status)
+        });
+        assert_ne!(back["identity"], before, "it came back as the one that forgot");
+        wait_for("the group has put it in its place", || {
+            let names = json!(["p-0", "p-1", "p-2"]);
+            let settled = |m: &Machine| m.status().is_some_and(|s| s["status"]["voters"] == names);
+            three.machines.iter().all(settled).then_some(())
+        });
+    }
+    three.all_hold(&["b-1", "b-2", "b-3"]);
+}
+
+#[test]
+fn after_all_were_killed_at_once_no_request_goes_to_a_banned_backend() {
+    let mut three = Three::start("power");
+    press(&three.machines[0]);
+    let spread = requests_seen(&three.backends);
+    assert!(
+        spread.iter().filter(|&&seen| seen > 0).count() > BACKENDS / 2,
+        "all would go to one: {spread:?}"
+    );
+    for backend in 1..BACKENDS {
+        three.machines[backend % 3].yes(&format!("maint-on b-{backend}"));
+    }
+    let banned: Vec<String> = (1..BACKENDS).map(|b| format!("b-{b}")).collect();
+    three.machines.iter_mut().for_each(Machine::kill);
+    // The group's log alone has to know: the bans of a single proxy are gone.
+    for machine in &three.machines {
+        fs::remove_dir_all(machine.home.join("tmp")).expect("its bans go");
+        fs::create_dir_all(machine.home.join("tmp")).expect("an empty folder");
+    }
+    requests_seen(&three.backends);
+    three.machines.iter_mut().for_each(Machine::start);
+    thread::scope(|scope| three.machines.iter_mut().for_each(|m| _ = scope.spawn(move || press(m))));
+    let seen = requests_seen(&three.backends);
+    assert!(seen[0] >= 150, "{seen:?}");
+    assert_eq!(seen[1..].iter().sum::<usize>(), 0, "sent to a banned backend: {seen:?}");
+    three.all_hold(&banned.iter().map(String::as_str).collect::<Vec<_>>());
+}
+
+#[test]
+fn without_a_majority_a_ban_is_in_force_here_alone_and_nothing_is_given_back() {
+    let mut three = Three::start("minority");
+    three.machines[0].yes("maint-on b-1");
+    three.all_hold(&["b-1"]);
+    (1..3).for_each(|m| three.machines[m].kill());
+    let left = &three.machines[0];
+    for (line, says) in [
+        ("maint-on b-2", ["in force at this proxy alone", "of 3 voters", "call again"]),
+        ("maint-off b-1", ["nothing has changed", "of 3 voters", "call again"]),
+    ] {
+        let asked = Instant::now();
+        let answer = left.call(line);
+        let took = asked.elapsed();
+        eprintln!("{line}: {answer} ({} ms)", took.as_millis());
+        assert!(answer.starts_with("400 ") && says.iter().all(|word| answer.contains(word)), "{answer}");
+        // Owed in 1 s; the bound leaves room for a loaded machine.
+        assert!(took < Duration::from_secs(3), "{took:?}");
+    }
+    assert_eq!(left.bans(), Some(vec!["b-1".to_owned()]));
+    requests_seen(&three.backends);
+    press(left);
+    let seen = requests_seen(&three.backends);
+    assert_eq!(seen[1] + seen[2], 0, "sent to a banned backend: {seen:?}");
+    // Once a majority is back the ban that was not given back still holds, and the other may be called again.
+    three.machines[1].start();
+    three.machines[0].yes("maint-on b-2");
+    three.all_hold(&["b-1", "b-2"]);
+}
+
+#[test]
+fn a_voter_that_starts_alone_goes_on_with_the_bans_of_its_own_log() {
+    let mut three = Three::start("alone");
+    three.machines[0].yes("maint-on b-1");
+    three.machines[1].yes("maint-on b-2");
+    three.all_hold(&["b-1", "b-2"]);
+    three.machines.iter_mut().for_each(Machine::kill);
+    let machine = &mut three.machines[2];
+    fs::remove_dir_all(machine.home.join("tmp")).expect("its bans go");
+    fs::create_dir_all(machine.home.join("tmp")).expect("an empty folder");
+    requests_seen(&three.backends);
+    machine.start();
+    press(machine);
+    let seen = requests_seen(&three.backends);
+    assert_eq!(seen[1] + seen[2], 0, "sent to a banned backend: {seen:?}");
+    assert_eq!(machine.events("group_unknown").len(), 1, "it does not say what it goes on with");
+}
+
+#[test]
+fn a_call_that_arrives_twice_counts_once() {
+    let three = Three::start("twice");
+    let leader = three.leader();
+    let peer = (leader + 1) % 3;
+    let identity = three.machines[peer].status().expect("a status")["identity"].clone();
+    // Call number 5, a ban of b-4, within 500 ms, in postcard.
+    let body = [&[5, 0, 3][..], b"b-4", &[0xf4, 0x03]].concat();
+    let send = || {
+        let head = format!(
+            "POST /group/propose HTTP/1.1\r\nHost: g\r\nConnection: close\r\nX-Gatestage-Format: 1\r\n\
+             X-Gatestage-Group: region-a\r\nX-Gatestage-Node: p-{peer}\r\nX-Gatestage-Identity: {}\r\n\
+             Content-Length: {}\r\n\r\n",
+            identity.as_str().expect("text"),
+            body.len()
+        );
+        let seen = http(three.machines[leader].listen, [head.as_bytes(), &body].concat()).expect("an answer");
+        assert_eq!(seen.status(), 200, "{seen:?}");
+    };
+    send();
+    three.all_hold(&["b-4"]);
+    three.machines[peer].yes("maint-off b-4");
+    // A copy that was long on its way does not undo what was called after it.
+    send();
+    three.machines[peer].yes("maint-on b-5");
+    three.all_hold(&["b-5"]);
+}
+
+#[test]
+fn strangers_and_bodies_over_the_cap_are_refused_with_the_reason() {
+    let three = Three::start("strangers");
+    let member = |me: usize| three.machines[me].status().expect("a status")["identity"].clone();
+    let (mine, other) = (member(1), member(2));
+    let (mine, other) = (mine.as_str().expect("text"), other.as_str().expect("text"));
+    let post = |format: &str, group: &str, node: &str, identity: &str, body: usize| {
+        let text = format!(
+            "POST /group/hello HTTP/1.1\r\nHost: g\r\nConnection: close\r\nX-Gatestage-Format: {format}\r\n\
+             X-Gatestage-Group: {group}\r\nX-Gatestage-Node: {node}\r\nX-Gatestage-Identity: {identity}\r\n\
+             Content-Length: {body}\r\n\r\n{}",
+            "x".repeat(body)
+        );
+        let seen = http(three.machines[0].listen, &text).expect("an answer");
+        (seen.status(), String::from_utf8_lossy(&seen.body).into_owned())
+    };
+    assert_eq!(post("1", "region-a", "p-1", mine, 0).0, 200);
+    for (status, word, answer) in [
+        (409, "OtherGroup", post("1", "region-b", "p-1", mine, 0)),
+        (400, "OtherFormat", post("7", "region-a", "p-1", mine, 0)),
+        (409, "TwoNodes", post("1", "region-a", "p-1", other, 0)),
+        (409, "TwoNodes", post("1", "region-a", "p-1", "00000000000000aa", 0)),
+        (403, "UnknownNode", post("1", "region-a", "p-7", mine, 0)),
+        (400, "Malformed", post("1", "region-a", "p-1", "me", 0)),
+    ] {
+        assert!(answer.0 == status && answer.1.contains(word), "{word}: {answer:?}");
+    }
+    let long = (1 << 20) + 1;
+    let append = format!(
+        "POST /group/append HTTP/1.1\r\nHost: g\r\nConnection: close\r\nContent-Length: {long}\r\n\r\n{}",
+        "x".repeat(long)
+    );
+    let seen = http(three.machines[0].listen, &append).expect("an answer");
+    assert_eq!(seen.status(), 413, "{seen:?}");
+    // Nothing of it has changed the group.
+    three.machines[0].yes("maint-on b-1");
+}
+
+/// Starts a machine that must not come up, and gives its log.
+fn refused(machine: &mut Machine) -> String {
+    machine.start();
+    let status = machine.child.as_mut().expect("started").wait().expect("it ends");
+    assert!(!status.success(), "it started");
+    machine.log()
+}
+
+#[test]
+fn a_configuration_that_makes_no_sense_is_refused_with_its_line() {
+    let mut three = Three::prepare("bad");
+    let good = fs::read_to_string(three.machines[0].home.join("group.toml")).expect("a configuration");
+    for (from, to, says) in [
+        ("\"p-2\"]", "\"p-2\", \"p-3\"]", "line 6: `voters` names 4"),
+        ("\"p-2\"]", "\"p-9\"]", "line 6: voter `p-9` is neither"),
+        ("name = \"p-2\"", "name = \"p-1\"", "line 11: two machines are named `p-1`"),
+        ("node = ", "nodes = ", "line 3"),
+    ] {
+        fs::write(three.machines[0].home.join("group.toml"), good.replace(from, to))
+            .expect("a configuration");
+        let log = refused(&mut three.machines[0]);
+        assert!(log.contains(says), "{says}: {log}");
+        assert!(!three.machines[0].home.join("state").exists(), "something was made on disk");
+    }
+}
+
+#[test]
+fn a_state_dir_of_another_machine_is_refused_and_left_as_it_is() {
+    let mut three = Three::start("other");
+    three.machines.iter_mut().for_each(Machine::kill);
+    let (mine, theirs) = (three.machines[0].home.join("state"), three.machines[1].home.join("state"));
+    fs::remove_dir_all(&mine).expect("it goes");
+    fs::rename(&theirs, &mine).expect("it is moved");
+    let log = refused(&mut three.machines[0]);
+    assert!(log.contains("is that of node `p-1` of group `region-a`"), "{log}");
+    // Back in its place it is as good as before.
+    fs::rename(&mine, &theirs).expect("it is moved back");
+    three.machines[1].start();
+    three.machines[2].start();
+    three.machines[1].yes("maint-on b-1");
+}
+
+#[test]
+fn without_a_group_there_is_no_thread_no_listener_and_no_file() {
+    let mut three = Three::prepare("none");
+    let machine = &mut three.machines[0];
+    fs::write(machine.home.join("group.toml"), "").expect("an empty configuration");
+    machine.start();
+    wait_for("a proxy takes clients", || machine.is_up().then_some(()));
+    let pid = machine.child.as_ref().expect("started").id();
+    assert_eq!(fs::read_dir(format!("/proc/{pid}/task")).expect("its threads").count(), 1);
+    assert!(TcpStream::connect(machine.listen).is_err(), "somebody listens for the group");
+    assert!(!machine.home.join("state").exists(), "something was made on disk");
+    assert!(machine.call("maint-on b-1").starts_with("200 nothing more goes there\n".trim_end()));
+    assert!(machine.events("group_starts").is_empty());
+}
