Pass calls on to the group while a replaced process still has its files

Need: two processes of one proxy serve side by side while one replaces the other, and an operator may call either. Only one can have the group's log.

The new process waits for the lock on the log and speaks to the group meanwhile as its predecessor does, through the predecessor's own listener too, with the identity that lies beside the log. Rejected: an answer of 400 until the old process has ended; the ban would hold in one of two processes that serve.

Test: a ban and a giving back through the new process, both in force in the old one, which then ends; the new one is the same member and knows them. Without this change the ban through the new process never gets its yes.

--- a/src/group/disk.rs
+++ b/src/group/disk.rs
@@ -112,6 +112,12 @@
         .map_err(|source| GroupError::Folder { path: folder.to_path_buf(), source })
 }
 
+/// The identity in the folder, which another process has open.
+pub(super) fn identity_beside(folder: &Path) -> Option<u64> {
+    let stored: Option<Identity> = newest(&store(folder, "identity").ok()?, "the identity").ok()?;
+    stored.map(|stored| stored.identity)
+}
+
 /// The identity in the folder, or a fresh one, and the log that is its own.
 fn own_log(folder: &Path, group: &str, node: &str) -> Result<(Log<Entry>, u64), GroupError> {
     let identities = store(folder, "identity")?;
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -43,7 +43,7 @@
 use std::{io, thread};
 use thiserror::Error;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Calls of operators that wait for the group at a time.
 const CALLS: usize = 64;
@@ -185,7 +185,7 @@
 }
 
 /// Starts this machine's part of its group. Where another process of the same proxy still has the folder, it is
-/// waited for, and calls are answered with [`ProposeError::NotYet`] until then.
+/// waited for; calls go to the group through that one's peers until then.
 ///
 /// # Errors
 /// What is wrong with the folder or the address; nothing runs then.
@@ -222,19 +222,31 @@
     Ok((opened, listener))
 }
 
-/// Waits until the process that this one replaces has ended.
+/// Waits until the process that this one replaces has ended, and passes calls on to the group meanwhile.
 async fn take_over(config: &GroupConfig, ends: &mut Ends) -> Result<(Opened, TcpListener), GroupError> {
+    let node = config.node.get_ref().clone();
+    say(&json!({"event": "group_waits", "node": node, "why": "another process has `state_dir`",
+                "do": "nothing, if that is the process which this one replaces; else end it"}));
+    let voters = Arc::new(config.voters.get_ref().clone());
+    let mine = |identity| Mine { group: config.name.get_ref().clone(), node: node.clone(), identity };
+    let peers = disk::identity_beside(&config.state_dir).map(|id| Arc::new(Peers::beside(config, mine(id))));
     loop {
         match open(config) {
             Err(GroupError::Log(LogError::InUse { .. }) | GroupError::Listen { .. }) => {}
             opened => return opened,
         }
         let next = Instant::now() + LET_GO_EVERY;
-        while let Ok(Some(asked)) = tokio::time::timeout_at(next, ends.asked.recv()).await {
-            let _ = asked.answer.send(Err(ProposeError::NotYet));
+        while let Ok(Some(Asked { promise, within, answer })) = timeout_at(next, ends.asked.recv()).await {
+            let (peers, voters) = (peers.clone(), Arc::clone(&voters));
+            tokio::spawn(async move {
+                let done = match peers {
+                    Some(peers) => propose::propose(&peers, &voters, None, promise, within).await,
+                    None => Err(ProposeError::NotYet),
+                };
+                let _ = answer.send(done);
+            });
         }
-        // Where nobody can call any more the process is ending.
-        tokio::time::sleep_until(next).await;
+        sleep_until(next).await;
     }
 }
 
@@ -293,7 +305,10 @@
     let answering = tokio::spawn(axum::serve(listener, server::router(Arc::clone(&node))).into_future());
     while let Some(Asked { promise, within, answer }) = ends.asked.recv().await {
         let node = Arc::clone(&node);
-        tokio::spawn(async move { answer.send(node.propose(promise, within).await) });
+        tokio::spawn(async move {
+            let (peers, voters) = (&node.peers, node.config.voters.get_ref());
+            let _ = answer.send(propose::propose(peers, voters, Some(&*node), promise, within).await);
+        });
     }
     drop(answering);
     pending().await
--- a/src/group/peers.rs
+++ b/src/group/peers.rs
@@ -183,11 +183,17 @@
             .pool_timer(TokioTimer::new())
             .pool_max_idle_per_host(SLOTS)
             .build(connector);
-        let peer = |address| Peer { address, slots: Semaphore::new(SLOTS), seen: Mutex::new((None, None)) };
-        let book = config.peers.iter().map(|p| (p.name.get_ref().clone(), peer(p.address))).collect();
+        let book = config.peers.iter().map(|p| (p.name.get_ref().clone(), Peer::at(p.address))).collect();
         Self { mine, client, book, refusals: Mutex::default() }
     }
 
+    /// The same for a process that waits until the one which it replaces ends: that one is called like a peer.
+    pub(super) fn beside(config: &GroupConfig, mine: Mine) -> Self {
+        let mut peers = Self::new(config, mine);
+        peers.book.insert(peers.mine.node.clone(), Peer::at(config.listen));
+        peers
+    }
+
     /// The other machines' names.
     pub(super) fn names(&self) -> Vec<String> {
         self.book.keys().cloned().collect()
@@ -278,6 +284,10 @@
     /// group knows this identity under that name, which does while the address can't be asked. True where the
     /// identity is news.
     pub(super) async fn verify(&self, name: &str, caller: u64, member: bool) -> Result<bool, Refusal> {
+        if name == self.mine.node && caller == self.mine.identity {
+            // The process that is to replace this one.
+            return Ok(false);
+        }
         let unknown = || Refusal::UnknownNode { node: name.to_owned() };
         let peer = self.book.get(name).ok_or_else(unknown)?;
         let (seen, asked) = *peer.seen();
@@ -316,6 +326,10 @@
 }
 
 impl Peer {
+    fn at(address: SocketAddr) -> Self {
+        Self { address, slots: Semaphore::new(SLOTS), seen: Mutex::new((None, None)) }
+    }
+
     fn seen(&self) -> MutexGuard<'_, (Option<u64>, Option<Instant>)> {
         self.seen.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/group/propose.rs
+++ b/src/group/propose.rs
@@ -2,7 +2,7 @@
 
 use super::bans::MOST_BANS;
 use super::node::Node;
-use super::peers::{PeerError, Refusal, holders};
+use super::peers::{PeerError, Peers, Refusal, holders};
 use super::types::{Call, Promise, Taken};
 use openraft::error::{ClientWriteError, RaftError};
 use serde::{Deserialize, Serialize};
@@ -77,53 +77,52 @@
 
 type Answer = Result<Committed, ProposeError>;
 
-impl Node {
-    fn voters(&self) -> usize {
-        self.config.voters.get_ref().len()
-    }
-
-    /// Makes a promise within a time, wherever the leader is; goes on looking for it until then.
-    pub(super) async fn propose(&self, promise: Promise, within: Duration) -> Answer {
-        let end = Instant::now() + within;
-        let call = Call { number: fastrand::u64(..), promise };
-        let mut worst = ProposeError::NoMajority { voters: self.voters() };
-        let mut hint = None;
-        for turn in 0.. {
-            let left = end.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                break;
+/// Makes a promise within a time, wherever the leader is; goes on looking for it until then. `node`: this machine's
+/// part of the group, if this process has it.
+pub(super) async fn propose(
+    peers: &Peers,
+    voters: &[String],
+    node: Option<&Node>,
+    promise: Promise,
+    within: Duration,
+) -> Answer {
+    let end = Instant::now() + within;
+    let call = Call { number: fastrand::u64(..), promise };
+    let mut worst = ProposeError::NoMajority { voters: voters.len() };
+    let mut hint = None;
+    for turn in 0.. {
+        let left = end.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            break;
+        }
+        let left = left.min(ONE_WITHIN);
+        let leader = hint.take().or_else(|| node.and_then(Node::leader));
+        let target = leader.unwrap_or_else(|| voters[turn % voters.len()].clone());
+        let asked = Question { call: call.clone(), within_ms: left.as_millis() as u64 };
+        let answer = match node.filter(|_| target == peers.mine.node) {
+            Some(node) => node.lead(asked).await.map_err(PeerError::Refused),
+            None => peers.ask(&target, None, "/group/propose", &asked, left).await,
+        };
+        match answer {
+            Ok(Err(error @ (ProposeError::NoMajority { .. } | ProposeError::Unconfirmed { .. }))) => {
+                worst = graver(worst, error);
             }
-            let left = left.min(ONE_WITHIN);
-            let target = hint.take().or_else(|| self.leader()).or_else(|| self.some_voter(turn));
-            let asked = Question { call: call.clone(), within_ms: left.as_millis() as u64 };
-            match self.ask_leader(target.as_deref(), asked, left).await {
-                Ok(Err(error @ (ProposeError::NoMajority { .. } | ProposeError::Unconfirmed { .. }))) => {
-                    worst = graver(worst, error);
-                }
-                Ok(answer) => return answer,
-                Err(PeerError::Refused(Refusal::NotLeader { leader })) => hint = leader,
-                // The call has left and may have been taken.
-                Err(PeerError::TimedOut(_)) => {
-                    worst = graver(worst, ProposeError::Unconfirmed { held: 0, voters: self.voters() });
-                }
-                Err(_) => {}
+            Ok(answer) => return answer,
+            Err(PeerError::Refused(Refusal::NotLeader { leader })) => hint = leader,
+            // The call has left and may have been taken.
+            Err(PeerError::TimedOut(_)) => {
+                worst = graver(worst, ProposeError::Unconfirmed { held: 0, voters: voters.len() });
             }
-            sleep(AGAIN.min(end.saturating_duration_since(Instant::now()))).await;
+            Err(_) => {}
         }
-        Err(worst)
+        sleep(AGAIN.min(end.saturating_duration_since(Instant::now()))).await;
     }
+    Err(worst)
+}
 
-    async fn ask_leader(
-        &self,
-        target: Option<&str>,
-        asked: Question,
-        left: Duration,
-    ) -> Result<Answer, PeerError> {
-        match target {
-            Some(name) if name == self.peers.mine.node => self.lead(asked).await.map_err(PeerError::Refused),
-            Some(name) => self.peers.ask(name, None, "/group/propose", &asked, left).await,
-            None => Err(PeerError::NoAddress(String::new())),
-        }
+impl Node {
+    fn voters(&self) -> usize {
+        self.config.voters.get_ref().len()
     }
 
     /// Makes a promise as the leader.
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -409,6 +409,49 @@
     assert_eq!(machine.events("group_unknown").len(), 1, "it does not say what it goes on with");
 }
 
+#[test]
+fn a_process_that_replaces_another_speaks_for_the_group_after_it() {
+    let mut three = Three::start("upgrade");
+    let identity = three.machines[0].status().expect("a status")["identity"].clone();
+    three.machines[0].yes("maint-on b-1");
+    // The same machine, with another place for calls.
+    let old = &three.machines[0];
+    let mut new = Machine {
+        home: old.home.clone(),
+        admin: free_ports::<1>(own_ip())[0],
+        child: None,
+        _discovery: Discovery::start(),
+        ..*old
+    };
+    let edge = fs::read_to_string(new.home.join("edge.json")).expect("a configuration");
+    let mut edge: Value = serde_json::from_str(&edge).expect("JSON");
+    edge["admin_addr"] = json!(new.admin.to_string());
+    fs::write(new.home.join("edge.json"), edge.to_string()).expect("a configuration");
+    new.start();
+    wait_for("the new process takes clients", || new.try_call("status")?.starts_with("200").then_some(()));
+    assert_eq!(new.events("group_waits").len(), 1, "two processes have the folder");
+    new.yes("maint-on b-2");
+    new.yes("maint-off b-1");
+    three.all_hold(&["b-2"]);
+    three.machines[0].signal("-TERM");
+    three.machines[0].child.as_mut().expect("the old one").wait().expect("it ends");
+    std::mem::swap(&mut three.machines[0].child, &mut new.child);
+    three.machines[0].admin = new.admin;
+    new.home = PathBuf::new();
+    three.all_hold(&["b-2"]);
+    assert_eq!(
+        three.machines[0].status().expect("a status")["identity"],
+        identity,
+        "it came back as another"
+    );
+    three.machines[0].yes("maint-on b-3");
+    three.all_hold(&["b-2", "b-3"]);
+    requests_seen(&three.backends);
+    press(&three.machines[0]);
+    let seen = requests_seen(&three.backends);
+    assert_eq!(seen[2] + seen[3], 0, "sent to a banned backend: {seen:?}");
+}
+
 #[test]
 fn a_call_that_arrives_twice_counts_once() {
     let three = Three::start("twice");
