Say which stored bans end when a proxy joins a group, and test one that does not vote

Cause: a ban stored before the proxy was in a group is none of the group's; it ended without a word once the group's bans were known. The log now names such bans (bans_dropped) and says to call them again. Rejected: proposing them to the group; a proxy that was away while one was given back would bring it back.

Tests: a ban file from before is named and goes; a fourth proxy that is no voter follows, takes calls, and is no voter in a lost one's place.

--- a/src/proxy/admin.rs
+++ b/src/proxy/admin.rs
@@ -168,18 +168,35 @@
     pub async fn follow_group(self: Rc<Self>) {
         let Some(group) = &self.group else { return };
         let mut agreed = group.bans();
+        let mut was_known = false;
         loop {
             let known = agreed.borrow_and_update().known;
             self.follow();
             if known {
+                if !was_known {
+                    self.say_dropped(group);
+                }
                 self.store_all();
             }
+            was_known = known;
             if agreed.changed().await.is_err() {
                 return;
             }
         }
     }
 
+    /// Names the bans that are stored here and that the group, now that it is known, does not hold.
+    fn say_dropped(&self, group: &Group) {
+        let stored = self.bans.read().unwrap_or_default();
+        let dropped: Vec<String> = stored.difference(&self.in_force.borrow()).cloned().collect();
+        if !dropped.is_empty() {
+            let event = json!({"event": "bans_dropped", "node": group.name(), "backends": dropped,
+                               "why": "they were stored here and are not the group's, or were given back meanwhile",
+                               "do": "call those again that are to hold"});
+            log(format_args!("{event}"));
+        }
+    }
+
     /// Stores the bans in force, and no others.
     fn store_all(&self) {
         let (stored, wanted) = (self.bans.read().unwrap_or_default(), self.in_force.borrow());
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -81,9 +81,9 @@
         Self { home, address, admin, listen, child: None, _discovery: discovery }
     }
 
-    /// Writes its group's configuration: all of these machines are voters.
+    /// Writes its group's configuration: the first three of these machines are voters.
     fn configure(&self, me: usize, group: &str, listens: &[SocketAddr]) {
-        let voters: Vec<String> = (0..listens.len()).map(|i| format!("\"p-{i}\"")).collect();
+        let voters: Vec<String> = (0..3).map(|i| format!("\"p-{i}\"")).collect();
         let mut text = format!(
             "[group]\nname = \"{group}\"\nnode = \"p-{me}\"\nlisten = \"{}\"\nstate_dir = \"{}\"\nvoters = [{}]\n",
             self.listen,
@@ -198,20 +198,28 @@
 
 impl Three {
     fn prepare(test: &str) -> Self {
+        Self::prepare_of(test, 3)
+    }
+
+    fn prepare_of(test: &str, machines: usize) -> Self {
         let backends: Vec<Backend> = (0..BACKENDS).map(|_| Backend::start(|_| served_slowly())).collect();
         let addresses: Vec<SocketAddr> = backends.iter().map(|b| b.address).collect();
-        let machines: Vec<Machine> = (0..3).map(|me| Machine::prepare(test, me, &addresses)).collect();
+        let machines: Vec<Machine> = (0..machines).map(|me| Machine::prepare(test, me, &addresses)).collect();
         let listens: Vec<SocketAddr> = machines.iter().map(|m| m.listen).collect();
         machines.iter().enumerate().for_each(|(me, m)| m.configure(me, "region-a", &listens));
         Self { machines, backends }
     }
 
     fn start(test: &str) -> Self {
-        let mut three = Self::prepare(test);
+        Self::prepare(test).run()
+    }
+
+    fn run(mut self) -> Self {
+        let three = &mut self;
         three.machines.iter_mut().for_each(Machine::start);
         three.machines.iter().for_each(|m| wait_for("a proxy takes clients", || m.is_up().then_some(())));
         three.leader();
-        three
+        self
     }
 
     /// The leader's place, once all that run agree on it.
@@ -239,7 +247,16 @@
 
 #[test]
 fn a_ban_called_at_one_proxy_is_in_force_at_all() {
-    let three = Three::start("one");
+    let three = Three::prepare("one");
+    // A ban from before the proxy was in a group: nobody agreed on it, and the log says that it ends.
+    let stored = three.machines[0].home.join("tmp/haventrack-bans/622d37");
+    fs::create_dir_all(stored.parent().expect("a folder")).expect("a folder");
+    fs::write(&stored, "").expect("a ban");
+    let three = three.run();
+    wait_for("it says which ban has ended", || {
+        let events = three.machines[0].events("bans_dropped");
+        (events.first()?["backends"] == json!(["b-7"]) && !stored.exists()).then_some(())
+    });
     let follower = (three.leader() + 1) % 3;
     three.machines[follower].yes("maint-on b-3");
     three.all_hold(&["b-3"]);
@@ -268,6 +285,24 @@
     thread::scope(|scope| (0..8).for_each(|place| _ = scope.spawn(move || some(place))));
 }
 
+#[test]
+fn a_proxy_that_does_not_vote_follows_and_takes_calls() {
+    let mut four = Three::prepare_of("learner", 4).run();
+    let state = || four.machines[3].status().map(|s| s["status"].clone());
+    wait_for("it is taken in", || {
+        (state()?["state"] == "learner" && state()?["leader"].is_string()).then_some(())
+    });
+    four.machines[0].yes("maint-on b-1");
+    four.machines[3].yes("maint-on b-2");
+    four.all_hold(&["b-1", "b-2"]);
+    assert_eq!(state().expect("a status")["voters"], json!(["p-0", "p-1", "p-2"]));
+    // With one voter gone, a machine that does not vote is none in its place.
+    let leader = four.leader();
+    [leader, (leader + 1) % 3].iter().for_each(|&m| four.machines[m].kill());
+    let answer = four.machines[3].call("maint-off b-1");
+    assert!(answer.starts_with("400 ") && answer.contains("nothing has changed"), "{answer}");
+}
+
 #[test]
 fn no_yes_is_lost_with_the_leader_and_the_next_one_comes_soon() {
     let mut three = Three::start("leader");
