Look at a group's members again soon while one is on its way to its place

Rejected: asking faster always; a leader asks every machine of the group, and a hundred of them should cost little.

--- a/src/group/node.rs
+++ b/src/group/node.rs
@@ -218,8 +218,7 @@
     pub(super) async fn tend(self: Arc<Self>) {
         loop {
             let every = if self.leads() {
-                self.tend_members().await;
-                TEND_EVERY
+                if self.tend_members().await { TEND_EVERY } else { JOIN_EVERY }
             } else if self.members().contains_key(&self.peers.mine.identity) {
                 TEND_EVERY
             } else {
@@ -260,7 +259,8 @@
         if name == self.name() { Some(self.peers.mine.identity) } else { self.peers.seen(name) }
     }
 
-    async fn tend_members(&self) {
+    /// Whether all is as it should be.
+    async fn tend_members(&self) -> bool {
         self.hellos(self.peers.names()).await;
         let members = self.members();
         let news: BTreeMap<u64, Machine> = self
@@ -274,16 +274,18 @@
             let names: Vec<String> = news.values().map(|machine| machine.name.clone()).collect();
             self.change(openraft::ChangeMembers::AddNodes(news), "members_taken_in", json!(names)).await;
         }
-        self.tend_voters().await;
+        let settled = self.tend_voters().await;
         let gone: BTreeSet<u64> = self.former_members();
         if !gone.is_empty() {
             let ids: Vec<String> = gone.iter().map(|&id| hex(id)).collect();
             self.change(openraft::ChangeMembers::RemoveNodes(gone), "members_removed", json!(ids)).await;
         }
+        settled
     }
 
-    /// Gives each voter's name the identity that stands for it now, once that has nearly caught up.
-    async fn tend_voters(&self) {
+    /// Gives each voter's name the identity that stands for it now, once that has nearly caught up. Whether each
+    /// had it already.
+    async fn tend_voters(&self) -> bool {
         let metrics = self.raft.metrics().borrow().clone();
         let membership = metrics.membership_config.membership().clone();
         let caught_up = |id: &u64| {
@@ -312,6 +314,7 @@
             let change = openraft::ChangeMembers::ReplaceAllVoters(wanted);
             self.change(change, "voters_changed", json!(names)).await;
         }
+        self.config.voter_names().iter().all(|name| self.current(name) == named(name))
     }
 
     /// Members whose name now stands for another identity.
