Bound the calls a machine takes from its peers, refuse strangers before their bodies

Need: a body was read, up to its cap, before its sender was looked at, and nothing bounded how many were read at once or for how long. Now 64 calls at a time have 10 s each, and the headers are judged first.

The test of strangers sends a body over the cap as a member: 413; one of a byte that is no vote: 400.

--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -42,7 +42,7 @@
 use std::time::Duration;
 use std::{io, thread};
 use thiserror::Error;
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Calls of operators that wait for the group at a time.
@@ -105,7 +105,7 @@
     #[error(transparent)]
     Log(#[from] LogError),
     /// Something can't be stored.
-    #[error("{0}; see that the disk is in order and has room")]
+    #[error(transparent)]
     Store(#[from] WriteError),
     /// The address for the peers' calls is not to be had.
     #[error("cannot listen on {address} for the group: {source}; free the address or change `listen`")]
@@ -294,10 +294,10 @@
     say(&json!({"event": "group_starts", "node": node, "identity": peers::hex(identity),
                 "group": config.name.get_ref(), "listen": config.listen.to_string(),
                 "fresh": disk.is_fresh()}));
-    let (status, news) = (ends.status, Notify::new());
+    let (status, news, callers) = (ends.status, Notify::new(), Semaphore::new(server::CALLERS));
     let spread = Duration::from_millis(*config.election_ms.get_ref());
     let patience = Patience::new(spread, spread * LEASE.0 / LEASE.1);
-    let node = Arc::new(Node { config, raft, disk, peers, state, teller, status, news, patience });
+    let node = Arc::new(Node { config, raft, disk, peers, state, teller, status, news, callers, patience });
     tokio::spawn(election::stand(Arc::clone(&node)));
     tokio::spawn(Arc::clone(&node).follow());
     tokio::spawn(Arc::clone(&node).learn());
--- a/src/group/node.rs
+++ b/src/group/node.rs
@@ -14,7 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
@@ -59,6 +59,8 @@
     pub status: watch::Sender<Status>,
     /// Somebody is here whom the group does not know.
     pub news: Notify,
+    /// Room for its peers' calls.
+    pub callers: Semaphore,
     /// How long it waits for a leader before it stands for election.
     pub patience: Patience,
 }
--- a/src/group/server.rs
+++ b/src/group/server.rs
@@ -9,14 +9,22 @@
 use super::types::{Meta, Snapshot, Types, Vote};
 use axum::Router;
 use axum::body::Bytes;
-use axum::extract::{DefaultBodyLimit, State};
+use axum::extract::{DefaultBodyLimit, Request, State};
 use axum::http::{HeaderMap, header};
+use axum::middleware::{Next, from_fn_with_state};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use openraft::raft::{AppendEntriesRequest, AppendEntriesResponse};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Peers' calls at a time; with [`BODY_CAP`] what they can cost.
+pub(super) const CALLERS: usize = 64;
+/// How long a call may take, its body included.
+const CALL_WITHIN: Duration = Duration::from_secs(10);
 
 type Shared = State<Arc<Node>>;
 
@@ -27,7 +35,7 @@
     }
 }
 
-/// What a machine answers.
+/// What a machine answers: its peers' calls, and two questions that anybody may ask.
 pub(super) fn router(node: Arc<Node>) -> Router {
     Router::new()
         .route("/group/append", post(append))
@@ -36,13 +44,21 @@
         .route("/group/propose", post(propose))
         .route("/group/read", post(read))
         .route("/group/hello", post(hello))
+        .layer(DefaultBodyLimit::max(BODY_CAP))
+        .route_layer(from_fn_with_state(Arc::clone(&node), admitted))
         .route("/group/identity", get(identity))
         .route("/group/status", get(status))
-        .layer(DefaultBodyLimit::max(BODY_CAP))
         .with_state(node)
 }
 
-/// Lets only calls in that are a member's or a configured peer's, meant for this machine, and few enough.
+/// Bounds the calls in their number and time, and refuses strangers before their bodies are read.
+async fn admitted(State(node): Shared, request: Request, next: Next) -> Result<Response, Refusal> {
+    let _permit = node.callers.try_acquire().map_err(|_| Refusal::Busy)?;
+    admit(&node, request.headers()).await?;
+    timeout(CALL_WITHIN, next.run(request)).await.map_err(|_| Refusal::Busy)
+}
+
+/// Lets only calls in that are a member's or a configured peer's, and meant for this machine.
 async fn admit(node: &Node, headers: &HeaderMap) -> Result<(), Refusal> {
     let text = |name| headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default();
     let (format, group, caller) = (text(FORMAT_HEADER), text(GROUP_HEADER), text(NODE_HEADER));
@@ -72,8 +88,7 @@
     encode(&value).map_err(|error| Refusal::Stopped(error.to_string()))
 }
 
-async fn append(State(node): Shared, headers: HeaderMap, body: Bytes) -> Result<Vec<u8>, Refusal> {
-    admit(&node, &headers).await?;
+async fn append(State(node): Shared, body: Bytes) -> Result<Vec<u8>, Refusal> {
     let entries: AppendEntriesRequest<Types> = question(&body)?;
     // The leader's word counts when it comes, not once a slow disk has its entries.
     if node.raft.metrics().borrow().vote == entries.vote {
@@ -86,8 +101,7 @@
     answer(done)
 }
 
-async fn vote(State(node): Shared, headers: HeaderMap, body: Bytes) -> Result<Vec<u8>, Refusal> {
-    admit(&node, &headers).await?;
+async fn vote(State(node): Shared, body: Bytes) -> Result<Vec<u8>, Refusal> {
     let done = node.raft.vote(question(&body)?).await;
     if done.as_ref().is_ok_and(|done| done.vote_granted) {
         node.patience.wait();
@@ -95,8 +109,7 @@
     answer(done)
 }
 
-async fn snapshot(State(node): Shared, headers: HeaderMap, body: Bytes) -> Result<Vec<u8>, Refusal> {
-    admit(&node, &headers).await?;
+async fn snapshot(State(node): Shared, body: Bytes) -> Result<Vec<u8>, Refusal> {
     let (vote, meta, bytes): (Vote, Meta, Vec<u8>) = question(&body)?;
     let snapshot = Snapshot { meta, snapshot: Box::new(bytes) };
     let done = node.raft.install_full_snapshot(vote, snapshot).await;
@@ -104,19 +117,16 @@
     answer(done)
 }
 
-async fn propose(State(node): Shared, headers: HeaderMap, body: Bytes) -> Result<Vec<u8>, Refusal> {
-    admit(&node, &headers).await?;
+async fn propose(State(node): Shared, body: Bytes) -> Result<Vec<u8>, Refusal> {
     let asked: Question = question(&body)?;
     answer::<_, Refusal>(Ok(node.lead(asked).await?))
 }
 
-async fn read(State(node): Shared, headers: HeaderMap) -> Result<Vec<u8>, Refusal> {
-    admit(&node, &headers).await?;
+async fn read(State(node): Shared) -> Result<Vec<u8>, Refusal> {
     answer::<_, Refusal>(Ok(node.confirmed().await?))
 }
 
-async fn hello(State(node): Shared, headers: HeaderMap) -> Result<Vec<u8>, Refusal> {
-    admit(&node, &headers).await?;
+async fn hello(State(node): Shared) -> Result<Vec<u8>, Refusal> {
     let voters = node.config.voter_names().into_iter().collect();
     let hello = Hello { identity: node.peers.mine.identity, fresh: node.disk.is_fresh(), voters };
     answer::<_, Refusal>(Ok(hello))
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -522,8 +522,9 @@
     let (mine, other) = (member(1), member(2));
     let (mine, other) = (mine.as_str().expect("text"), other.as_str().expect("text"));
     let post = |format: &str, group: &str, node: &str, identity: &str, body: usize| {
+        let path = if body == 0 { "hello" } else { "vote" };
         let text = format!(
-            "POST /group/hello HTTP/1.1\r\nHost: g\r\nConnection: close\r\nX-Gatestage-Format: {format}\r\n\
+            "POST /group/{path} HTTP/1.1\r\nHost: g\r\nConnection: close\r\nX-Gatestage-Format: {format}\r\n\
              X-Gatestage-Group: {group}\r\nX-Gatestage-Node: {node}\r\nX-Gatestage-Identity: {identity}\r\n\
              Content-Length: {body}\r\n\r\n{}",
             "x".repeat(body)
@@ -542,13 +543,8 @@
     ] {
         assert!(answer.0 == status && answer.1.contains(word), "{word}: {answer:?}");
     }
-    let long = (1 << 20) + 1;
-    let append = format!(
-        "POST /group/append HTTP/1.1\r\nHost: g\r\nConnection: close\r\nContent-Length: {long}\r\n\r\n{}",
-        "x".repeat(long)
-    );
-    let seen = http(three.machines[0].listen, &append).expect("an answer");
-    assert_eq!(seen.status(), 413, "{seen:?}");
+    assert_eq!(post("1", "region-a", "p-1", mine, (1 << 20) + 1).0, 413);
+    assert_eq!(post("1", "region-a", "p-1", mine, 1).0, 400, "a vote of one byte");
     // Nothing of it has changed the group.
     three.machines[0].yes("maint-on b-1");
 }
