Cut what was not synced off the logs where the group's test takes all power at once

SIGKILL alone leaves what was written in the system's cache, so the test could not tell a synced yes from a written one. The logs publish how far they are synced, and the test cuts them there before it starts the proxies.

--- a/tests/group.rs
+++ b/tests/group.rs
@@ -5,6 +5,7 @@
 #[allow(dead_code)]
 mod rig;
 
+use haventrack::store::PUBLISH_SYNCED;
 use rig::{Backend, Discovery, PATIENCE, entry, ok, read_message, request};
 use serde_json::{Value, json};
 use std::io::{BufReader, Read, Write};
@@ -103,6 +104,7 @@
             .env("EDGE_CONFIG", self.home.join("edge.json"))
             .env("GATESTAGE_CONFIG", self.home.join("group.toml"))
             .env("TMPDIR", self.home.join("tmp"))
+            .env(PUBLISH_SYNCED, "1")
             .stderr(log)
             .stdout(Stdio::null())
             .spawn();
@@ -116,6 +118,18 @@
         }
     }
 
+    /// Kills it and cuts off its log what was not synced: a power loss leaves no more.
+    fn lose_power(&mut self) {
+        self.kill();
+        let log = self.home.join("state/group.log");
+        let synced = fs::read(log.with_extension("log.synced")).expect("how much is synced");
+        let synced = u64::from_le_bytes(synced.try_into().expect("8 bytes"));
+        let file = fs::File::options().write(true).open(&log).expect("its log");
+        if file.metadata().expect("its length").len() > synced {
+            file.set_len(synced).expect("it is cut");
+        }
+    }
+
     /// Kills it and takes away all that it had on disk.
     fn lose_disk(&mut self) {
         self.kill();
@@ -369,7 +383,7 @@
 }
 
 #[test]
-fn after_all_were_killed_at_once_no_request_goes_to_a_banned_backend() {
+fn after_all_lost_power_at_once_no_request_goes_to_a_banned_backend() {
     let mut three = Three::start("power");
     press(&three.machines[0]);
     let spread = requests_seen(&three.backends);
@@ -381,7 +395,7 @@
         three.machines[backend % 3].yes(&format!("maint-on b-{backend}"));
     }
     let banned: Vec<String> = (1..BACKENDS).map(|b| format!("b-{b}")).collect();
-    three.machines.iter_mut().for_each(Machine::kill);
+    three.machines.iter_mut().for_each(Machine::lose_power);
     // The group's log alone has to know: the bans of a single proxy are gone.
     for machine in &three.machines {
         fs::remove_dir_all(machine.home.join("tmp")).expect("its bans go");
