Cut any pair of processes on the rig: a relay on every directed pair, one way or both

Need: a relay cut a backend off from all proxies at once, and nothing could lie between one proxy and the list service or between two proxies.

Change: one relay for each proxy before the list service; with `pair_relays = true` one for each proxy before each backend; with a `[group]` section one for every ordered pair of proxies, whose addresses go into the file that GATESTAGE_CONFIG names. The report counts what came to each pair's relay.

With `pair_relays` each proxy has another host_port for a backend. The one list service's answers are rewritten on their way to each proxy. Rejected: one list service for each view; they would be several truths with revisions of their own, told at different moments, and killing or cutting "the list" would no longer be one act.

A relay sees no handshakes: the kernel takes the dialler's connection, and what is sent on it stalls.

Seen to fail: the partition test with one relay for all proxies (2 requests of the others in five seconds), the relay test with held connections let up, the group test with the dialling side's own links left out.

--- a/src/rig/procs.rs
+++ b/src/rig/procs.rs
@@ -23,6 +23,21 @@
     child: Option<Child>,
 }
 
+/// What one proxy is told of the others.
+pub struct Told {
+    /// Where it dials the list service.
+    pub list: SocketAddr,
+    /// The members as it knows them at its start, with the addresses at which it dials them.
+    pub known: Value,
+    /// Its group's configuration file, if the proxies form one.
+    pub group: Option<String>,
+}
+
+/// The folder of a proxy's own under the run's: its `$TMPDIR`, and in it all that it keeps on disk.
+pub fn home(out: &Path, me: usize) -> PathBuf {
+    out.join(format!("proxy-{me}.tmp"))
+}
+
 /// One proxy of the run.
 pub type Proxy = Process;
 
@@ -56,27 +71,31 @@
         program: &Path,
         scenario: &Scenario,
         me: usize,
-        list: SocketAddr,
-        known: &Value,
+        told: &Told,
         out: &Path,
     ) -> Result<Self, String> {
         let name = format!("proxy-{me}");
         let address = free_port(scenario.ip()).map_err(|e| format!("no port for {name}: {e}"))?;
         let zone = scenario.zone(scenario.proxies[me].zone.get_ref()).unwrap_or_default();
-        let mut config = json!({"name": name, "listen": address.to_string(), "discovery": list.to_string(),
+        let mut config = json!({"name": name, "listen": address.to_string(), "discovery": told.list.to_string(),
             "seed": format!("{:016x}", scenario.seed.wrapping_add(me as u64)),
             "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 1024},
-            "known": known, "settings": settings(scenario, me, zone)});
-        let home = out.join(format!("{name}.tmp"));
-        // Each run begins cold; only a restart within the run goes on from a snapshot.
-        let _ = fs::remove_dir_all(home.join("state"));
+            "known": told.known, "settings": settings(scenario, me, zone)});
+        let home = home(out, me);
+        // Each run begins cold; only a restart within the run goes on from what is on disk.
+        let _ = fs::remove_dir_all(&home);
         if scenario.proxies[me].keep_state {
             config["state_dir"] = json!(home.join("state"));
         }
         let path = out.join(format!("{name}.json"));
         fs::write(&path, config.to_string()).map_err(|e| format!("cannot write {}: {e}", path.display()))?;
         fs::create_dir_all(&home).map_err(|e| format!("cannot make {}: {e}", home.display()))?;
-        let envs = vec![("EDGE_CONFIG", path), ("TMPDIR", home)];
+        let mut envs = vec![("EDGE_CONFIG", path), ("TMPDIR", home)];
+        if let Some(group) = &told.group {
+            let path = out.join(format!("{name}.toml"));
+            fs::write(&path, group).map_err(|e| format!("cannot write {}: {e}", path.display()))?;
+            envs.push(("GATESTAGE_CONFIG", path));
+        }
         let mut proxy = Self { name, address, args: vec!["proxy".into()], envs, child: None };
         proxy.launch(program, out)?;
         Ok(proxy)
--- a/src/rig/report.rs
+++ b/src/rig/report.rs
@@ -100,6 +100,17 @@
     pub arrivals_per_second: Vec<u64>,
 }
 
+/// What one proxy sent one backend through the relay of that pair (scenarios with `pair_relays`).
+#[derive(Clone, Debug, Serialize)]
+pub struct Pair {
+    /// `proxy-N`.
+    pub from: String,
+    /// `backend-N`.
+    pub to: String,
+    /// Requests, without probes, that came to the relay in each second of the run, whether or not it passed them.
+    pub arrivals_per_second: Vec<u64>,
+}
+
 /// The summary of a run, written as `summary.json`.
 #[derive(Clone, Debug, Serialize)]
 pub struct Summary {
@@ -119,6 +130,20 @@
     pub faults: Vec<Happened>,
     /// For each fault that the proxies should shun, what still reached its backends.
     pub shunned: Vec<Shunned>,
+    /// What came to the relay of each pair of a proxy and a backend; left out where proxies share the relays.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub pairs: Vec<Pair>,
+}
+
+/// Counts moments, in seconds from the first, by the whole second they lie in; those past the last are left out.
+pub fn per_second(moments: impl IntoIterator<Item = f64>, seconds: usize) -> Vec<u64> {
+    let mut counts = vec![0; seconds];
+    for moment in moments {
+        if let Some(count) = counts.get_mut(moment as usize) {
+            *count += 1;
+        }
+    }
+    counts
 }
 
 /// Sums up the records of a run.
@@ -127,6 +152,7 @@
     records: &[Record],
     faults: Vec<Happened>,
     shunned: Vec<Shunned>,
+    pairs: Vec<Pair>,
 ) -> Summary {
     let mut total = Tally::default();
     let mut classes = [("read".to_owned(), Tally::default()), ("submit".to_owned(), Tally::default())];
@@ -155,6 +181,7 @@
         lost_ids: lost.map(|r| r.id.clone()).collect(),
         faults,
         shunned,
+        pairs,
     }
 }
 
--- /dev/null
+++ b/tests/common/rig.rs
@@ -0,0 +1,62 @@
+//! What the tests of the cluster rig share: they run `gatestage rig` on a scenario and read its report.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::{env, fs};
+
+pub fn folder(test: &str) -> PathBuf {
+    let path = env::temp_dir().join(format!("gatestage-rig-{}-{test}", std::process::id()));
+    let _ = fs::remove_dir_all(&path);
+    fs::create_dir_all(&path).expect("a folder");
+    path
+}
+
+/// Runs `gatestage rig` on this scenario text.
+pub fn rig(test: &str, scenario: &str) -> (Output, PathBuf) {
+    let folder = folder(test);
+    let file = folder.join("scenario.toml");
+    fs::write(&file, scenario).expect("the scenario is written");
+    let out = folder.join("out");
+    let output = Command::new(env!("CARGO_BIN_EXE_gatestage"))
+        .arg("rig")
+        .arg(&file)
+        .arg("--out")
+        .arg(&out)
+        .output()
+        .expect("the rig starts");
+    (output, out)
+}
+
+pub fn summary(test: &str, scenario: &str, name: &str) -> (Value, PathBuf) {
+    let (output, out) = rig(test, scenario);
+    let stderr = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "the rig failed: {stderr}");
+    let run = out.join(name);
+    let text = fs::read_to_string(run.join("summary.json")).expect("a summary");
+    assert!(run.join("plot.svg").exists(), "a plot");
+    (serde_json::from_str(&text).expect("JSON"), run)
+}
+
+pub fn share_answered(second: &Value) -> f64 {
+    let n = |k: &str| second[k].as_f64().expect("a count");
+    (n("served") + n("late")) / n("sent").max(1.0)
+}
+
+pub fn with_faults(file: &str, faults: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios").join(file);
+    let text = fs::read_to_string(path).expect("a shipped scenario");
+    let head = text.split("[[fault]]").next().expect("a head").to_owned();
+    head + faults
+}
+
+pub fn refused(test: &str, scenario: &str, words: &[&str]) {
+    let (output, out) = rig(test, scenario);
+    let stderr = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{stderr}");
+    for word in words {
+        assert!(stderr.contains(word), "`{word}` is not in: {stderr}");
+    }
+    assert!(!out.exists(), "nothing started");
+}
