Take a proxy's disk, or the power of a whole set, on the rig

Need: a kill leaves what a process had on disk as it was; machines are also lost with their disk, and a power loss takes what was written and not synced.

Change: `lose_disk` kills a proxy, empties its folder (its private TMPDIR with the state_dirs in it) and starts it again after `down_s`. `power_loss` kills all targets at once (SIGKILL to each before the first is reaped), cuts each `NAME.log` in their folders to the length in `NAME.log.synced`, and starts all. Scenarios with a power loss set GATESTAGE_PUBLISH_SYNCED for their proxies, so that the checked log publishes it; files without it are left whole. Any fault on targets takes `targets`, a list, beside `target`.

Seen to fail with wiping and cutting left out: the restarted proxy says "restored generation" in place of a cold start; the log keeps its 100 bytes where 60 were synced.

--- a/src/rig/mod.rs
+++ b/src/rig/mod.rs
@@ -7,6 +7,7 @@
 //! duration and request count, and every listener is on loopback.
 
 mod backends;
+mod disk;
 mod group;
 mod links;
 mod load;
@@ -32,6 +33,7 @@
 use procs::{Process, Proxy, Told};
 use report::Happened;
 use rustix::process::Signal;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
@@ -252,8 +254,11 @@
     touched: Vec<usize>,
 }
 
-/// Carries out the faults at their times.
-async fn timeline(cluster: Arc<Cluster>, schedule: Vec<Step>, started: Instant) -> Vec<Done> {
+/// Carries out the faults at their times, and the starts that some of them bring with them.
+async fn timeline(cluster: Arc<Cluster>, mut schedule: Vec<Step>, started: Instant) -> Vec<Done> {
+    let starts: Vec<Step> = schedule.iter().filter_map(Step::start_again).collect();
+    schedule.extend(starts);
+    schedule.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
     let mut happened = Vec::new();
     for step in schedule {
         tokio::time::sleep_until((started + Duration::from_secs_f64(step.at_s)).into()).await;
@@ -275,6 +280,9 @@
     } else if step.action.on_relay() {
         cluster.links.apply_before(step, &ends)
     } else {
+        if step.action.loses() {
+            cluster.lose(step.action, &ends);
+        }
         ends.iter().for_each(|&end| cluster.apply_to(step, end));
         cluster.links.leading_to(&ends)
     };
@@ -283,6 +291,27 @@
 }
 
 impl Cluster {
+    /// Kills these processes at once; then either their folders are emptied, or what their logs had not synced is
+    /// cut off.
+    fn lose(&self, action: Action, ends: &BTreeSet<End>) {
+        let mut proxies = self.proxies.lock().unwrap_or_else(|e| e.into_inner());
+        let mut registry = self.registry.lock().unwrap_or_else(|e| e.into_inner());
+        let numbers: Vec<usize> =
+            ends.iter().filter_map(|&end| if let End::Proxy(n) = end { Some(n) } else { None }).collect();
+        numbers.iter().for_each(|&n| proxies[n].signal(Signal::KILL));
+        if ends.contains(&End::List) {
+            registry.end();
+        }
+        for n in numbers {
+            proxies[n].end();
+            let home = procs::home(&self.out, n);
+            let done = if action == Action::LoseDisk { disk::wipe(&home) } else { disk::cut_unsynced(&home) };
+            if let Err(error) = done {
+                eprintln!("rig: {}: {error}", home.display());
+            }
+        }
+    }
+
     /// Does one fault to one process or stand-in.
     fn apply_to(&self, step: &Step, end: End) {
         match end {
--- a/src/rig/procs.rs
+++ b/src/rig/procs.rs
@@ -3,6 +3,7 @@
 
 use super::scenario::Scenario;
 use crate::registry::Member;
+use crate::store::PUBLISH_SYNCED;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::fs::{self, File};
@@ -91,6 +92,9 @@
         fs::write(&path, config.to_string()).map_err(|e| format!("cannot write {}: {e}", path.display()))?;
         fs::create_dir_all(&home).map_err(|e| format!("cannot make {}: {e}", home.display()))?;
         let mut envs = vec![("EDGE_CONFIG", path), ("TMPDIR", home)];
+        if scenario.cuts_power() {
+            envs.push((PUBLISH_SYNCED, "1".into()));
+        }
         if let Some(group) = &told.group {
             let path = out.join(format!("{name}.toml"));
             fs::write(&path, group).map_err(|e| format!("cannot write {}: {e}", path.display()))?;
--- a/src/rig/scenario.rs
+++ b/src/rig/scenario.rs
@@ -207,6 +207,10 @@
     Cont,
     /// Starts a process that has ended again, on its address.
     Restart,
+    /// SIGKILL to a proxy, its `$TMPDIR` and `state_dir` emptied; it starts again after `down_s`.
+    LoseDisk,
+    /// SIGKILL to all targets at once, and what their logs had not synced cut off; they start again after `down_s`.
+    PowerLoss,
     /// The relays before the target accept and never answer; open connections stall.
     BlackHole,
     /// Between `from` and `to` nothing passes, or nothing from `from` to `to` with `one_way`; no new connection
@@ -238,7 +242,12 @@
 impl Action {
     /// Whether it is done to a process of the program.
     pub fn on_process(self) -> bool {
-        matches!(self, Self::Kill | Self::Term | Self::Stop | Self::Cont | Self::Restart)
+        matches!(self, Self::Kill | Self::Term | Self::Stop | Self::Cont | Self::Restart) || self.loses()
+    }
+
+    /// Whether it takes what processes have with it and starts them again by itself.
+    pub fn loses(self) -> bool {
+        matches!(self, Self::LoseDisk | Self::PowerLoss)
     }
 
     /// Whether the relays before a process carry it out.
@@ -380,6 +389,11 @@
         })
     }
 
+    /// Whether a process may lose power, so that its logs must publish what they have synced.
+    pub fn cuts_power(&self) -> bool {
+        self.faults.iter().any(|fault| fault.action == Action::PowerLoss)
+    }
+
     /// The faults in the order of their times.
     pub fn schedule(&self) -> Vec<Step> {
         let mut steps: Vec<Step> = self.faults.iter().map(Fault::plain).collect();
--- a/src/rig/step.rs
+++ b/src/rig/step.rs
@@ -164,7 +164,7 @@
         match end {
             End::Proxy(_) => self.on_process(),
             End::Backend(_) => !self.on_process() && self != Self::Partition,
-            End::List => self.on_process() || self.on_relay(),
+            End::List => (self.on_process() && self != Self::LoseDisk) || self.on_relay(),
         }
     }
 }
@@ -188,6 +188,13 @@
         }
     }
 
+    /// The start of the processes that this fault takes down, if it starts them again by itself.
+    pub fn start_again(&self) -> Option<Self> {
+        let start =
+            Self { at_s: self.at_s + self.down_s.unwrap_or(0.0), action: Action::Restart, ..self.clone() };
+        self.action.loses().then_some(Self { down_s: None, ..start })
+    }
+
     /// Whether it is done to pairs (`from`, `to`) rather than to targets.
     pub fn on_pairs(&self) -> bool {
         self.action == Action::Partition || !self.from.is_empty() || !self.to.is_empty()
@@ -237,7 +244,7 @@
             ("jitter_ms", self.jitter_ms, 0.0, 60_000.0, action == Action::Delay),
             ("factor", self.factor, 0.001, 1e6, action == Action::Slow && !self.on_pairs()),
             ("bytes_per_s", self.bytes_per_s, 1.0, 1e9, action == Action::Slow && self.on_pairs()),
-            ("down_s", self.down_s, 0.0, f64::MAX, false),
+            ("down_s", self.down_s, 0.0, f64::MAX, action.loses()),
         ];
         for (name, value, low, high, useful) in numbers {
             let Some(value) = value else { continue };
--- a/tests/common/rig.rs
+++ b/tests/common/rig.rs
@@ -19,16 +19,17 @@
     let file = folder.join("scenario.toml");
     fs::write(&file, scenario).expect("the scenario is written");
     let out = folder.join("out");
-    let output = Command::new(env!("CARGO_BIN_EXE_gatestage"))
-        .arg("rig")
-        .arg(&file)
-        .arg("--out")
-        .arg(&out)
-        .output()
-        .expect("the rig starts");
+    let output = command(&file, &out).output().expect("the rig starts");
     (output, out)
 }
 
+/// `gatestage rig` on a scenario's file.
+pub fn command(file: &Path, out: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_gatestage"));
+    command.arg("rig").arg(file).arg("--out").arg(out);
+    command
+}
+
 pub fn summary(test: &str, scenario: &str, name: &str) -> (Value, PathBuf) {
     let (output, out) = rig(test, scenario);
     let stderr = String::from_utf8_lossy(&output.stderr);
--- a/tests/rig_pairs.rs
+++ b/tests/rig_pairs.rs
@@ -92,3 +92,63 @@
     let group = shipped("pair-partition.toml").replacen("[[proxy]]", group, 1);
     refused("voter", &group, &["line 13", "voter `proxy-7` is no proxy"]);
 }
+
+/// Three proxies, the first two keeping what they learn, with these faults.
+fn kept(faults: &str) -> String {
+    let head = calm("pair-partition.toml")
+        .split_once("[[fault]]")
+        .unwrap()
+        .0
+        .replace("duration_s = 12", "duration_s = 8");
+    head.replacen("[[proxy]]\nzone = \"a\"", "[[proxy]]\nzone = \"a\"\nkeep_state = true", 2) + faults
+}
+
+/// A proxy's log lines that hold `word`.
+fn lines(run: &Path, proxy: usize, word: &str) -> Vec<String> {
+    let log = fs::read_to_string(run.join(format!("proxy-{proxy}.log"))).expect("a log");
+    log.lines().filter(|l| l.contains(word)).map(str::to_owned).collect()
+}
+
+#[test]
+fn a_proxy_that_loses_its_disk_starts_cold_and_one_that_is_killed_goes_on_from_its_snapshot() {
+    let scenario = kept(
+        "[[fault]]\nat_s = 5\naction = \"lose_disk\"\ntarget = \"proxy-0\"\ndown_s = 0.5\n\
+         [[fault]]\nat_s = 5\naction = \"power_loss\"\ntargets = [\"proxy-1\", \"proxy-2\"]\ndown_s = 0.5\n",
+    );
+    let (summary, run) = summary("disk", &scenario, "pair-partition");
+    let lost = lines(&run, 0, "state:");
+    assert!(lost.len() == 2 && lost.iter().all(|l| l.contains("cold start")), "{lost:?}");
+    let kept = lines(&run, 1, "state:");
+    assert!(kept.len() == 2 && kept[1].contains("restored generation"), "{kept:?}");
+    assert_eq!(lines(&run, 2, "listens on").len(), 2, "proxy-2 lost power too and is back");
+    let faults: Vec<&str> =
+        summary["faults"].as_array().unwrap().iter().map(|f| f["what"].as_str().unwrap()).collect();
+    let did =
+        ["LoseDisk proxy-0", "PowerLoss proxy-1, proxy-2", "Restart proxy-0", "Restart proxy-1, proxy-2"];
+    assert_eq!(faults, did);
+}
+
+#[test]
+fn a_power_loss_cuts_what_a_log_had_not_synced_and_nothing_else() {
+    let folder = common::folder("power");
+    let file = folder.join("scenario.toml");
+    let fault = "[[fault]]\nat_s = 7\naction = \"power_loss\"\ntargets = [\"proxy-0\", \"proxy-1\"]\n";
+    fs::write(&file, kept(fault)).unwrap();
+    let state = folder.join("out/pair-partition/proxy-0.tmp/state");
+    let mut rig = common::command(&file, &folder.join("out")).spawn().expect("the rig starts");
+    // Stand-ins for what a log writes, laid into the running proxy's folder well before the power goes.
+    for _ in 0..1_000 {
+        if state.exists() || rig.try_wait().unwrap().is_some() {
+            break;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    }
+    for (name, published) in [("cut", Some(60_u64)), ("whole", None), ("longer", Some(200))] {
+        fs::write(state.join(format!("{name}.log")), [7; 100]).expect("the proxy has made its state_dir");
+        let published = published.map(u64::to_le_bytes);
+        published.inspect(|p| fs::write(state.join(format!("{name}.log.synced")), p).unwrap());
+    }
+    assert!(rig.wait().expect("it ends").success());
+    let length = |name: &str| fs::metadata(state.join(format!("{name}.log"))).unwrap().len();
+    assert_eq!([length("cut"), length("whole"), length("longer")], [60, 100, 100]);
+}
