Draw a bounded schedule of faults from a seed on the rig, and play it again

Need: faults thought out by hand miss the combinations that hurt; drawn ones must be had again exactly.

Change: a `[nemesis]` section (kinds, count, window, longest_s) draws partitions (both ways or one), delays, slow paths, kills, stops, lost disks and power losses with fastrand from the scenario's seed; each fault's end is drawn with it and lies in the window. `--seed N` replaces the file's seed, of the arrivals and service times too. The report holds the seed and every fault as played (`schedule`); `--schedule summary.json` plays them in place of the file's own, and refuses those of another scenario or that don't fit. `--check` prints the schedule and starts nothing. What one seed fixes is what the rig does and when; the processes' interleaving is the machine's.

Rejected: a seed of the nemesis's own beside the scenario's; a run would then need two numbers to be had again. Where drawn faults overlap on one pair, the first heal ends both: it keeps the bound simple.

Seen to fail: a draw that ignores the seed, one without heals, one that outlasts the window, a replay that draws anew.

--- a/src/bin/gatestage.rs
+++ b/src/bin/gatestage.rs
@@ -25,9 +25,15 @@
         /// Where the report goes: `summary.json`, `plot.svg`, `requests.jsonl`, the proxies' logs.
         #[arg(long, default_value = "logs/rig")]
         out: PathBuf,
-        /// Only checks the scenario; nothing starts.
+        /// Only checks the scenario and prints the schedule of its faults as JSON; nothing starts.
         #[arg(long)]
         check: bool,
+        /// The seed, in place of the file's: of the arrivals, the service times and the nemesis.
+        #[arg(long, conflicts_with = "schedule")]
+        seed: Option<u64>,
+        /// A run's `summary.json`: plays its seed and its schedule again, in place of the file's faults.
+        #[arg(long)]
+        schedule: Option<PathBuf>,
     },
     /// Runs the list service: the platform's list and watch from the members of a TOML file; SIGHUP reads it again.
     Registry {
@@ -45,9 +51,13 @@
 }
 
 /// Runs a rig scenario; an error names what is wrong, and with a bad scenario nothing has started.
-fn rig(scenario: &Path, out: &Path, check: bool) -> Result<(), String> {
-    let scenario = Scenario::from_file(scenario).map_err(|e| format!("{}: {e}", scenario.display()))?;
+fn rig(file: &Path, out: &Path, check: bool, seed: Option<u64>, again: Option<&Path>) -> Result<(), String> {
+    let mut scenario = Scenario::from_file(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    scenario.seed = seed.unwrap_or(scenario.seed);
+    again.map_or(Ok(()), |path| scenario.play_again(path)).map_err(|e| e.to_string())?;
     if check {
+        let printed = serde_json::to_string_pretty(&scenario.played()).map_err(|e| e.to_string())?;
+        println!("{printed}");
         return Ok(());
     }
     let program = std::env::current_exe().map_err(|e| format!("where is this program: {e}"))?;
@@ -55,7 +65,7 @@
     let (total, latency) = (&summary.total, &summary.latency);
     println!(
         "{}: {} sent, {:.3} answered, {} refused, {} lost, {} timed out; p50 {:.1} ms, p99 {:.1} ms, p999 {:.1} ms",
-        summary.scenario,
+        summary.played.scenario,
         total.sent,
         total.answered(),
         total.refused,
@@ -82,7 +92,9 @@
 fn main() -> ExitCode {
     match Command::parse().part {
         Part::Proxy => haventrack::proxy::program::main(),
-        Part::Rig { scenario, out, check } => finish("rig", rig(&scenario, &out, check)),
+        Part::Rig { scenario, out, check, seed, schedule } => {
+            finish("rig", rig(&scenario, &out, check, seed, schedule.as_deref()))
+        }
         Part::Registry { config } => {
             finish("registry", haventrack::registry::serve(config).map_err(|e| e.to_string()))
         }
--- a/src/rig/mod.rs
+++ b/src/rig/mod.rs
@@ -11,6 +11,7 @@
 mod group;
 mod links;
 mod load;
+mod nemesis;
 mod overhead;
 mod procs;
 mod relay;
@@ -21,9 +22,10 @@
 
 pub use group::GroupSpec;
 pub use load::{Outcome, Record};
+pub use nemesis::{Kind, Nemesis};
 pub use overhead::{Overhead, measure as relay_overhead};
 pub use report::{Summary, Tally};
-pub use scenario::{Action, Fault, Scenario, ScenarioError};
+pub use scenario::{Action, Fault, Played, Scenario, ScenarioError};
 pub use step::{Step, StepError};
 
 use crate::registry::Member;
@@ -238,7 +240,7 @@
     let shunned = shunned(&cluster, &happened, started, end);
     let faults = happened.into_iter().map(|done| Happened { at_s: done.at, what: done.what }).collect();
     let pairs = pairs(&cluster.links, started, end);
-    let summary = report::summarise(&scenario.name, &records, faults, shunned, pairs);
+    let summary = report::summarise(scenario.played(), &records, faults, shunned, pairs);
     write_records(&records, out)?;
     Ok(summary)
 }
--- a/src/rig/report.rs
+++ b/src/rig/report.rs
@@ -2,6 +2,7 @@
 //! (`plotters`, SVG) and a JSON summary that tests read.
 
 use super::load::{Outcome, Record};
+use super::scenario::Played;
 use hdrhistogram::Histogram;
 use plotters::prelude::*;
 use serde::Serialize;
@@ -114,8 +115,10 @@
 /// The summary of a run, written as `summary.json`.
 #[derive(Clone, Debug, Serialize)]
 pub struct Summary {
-    /// The scenario's name.
-    pub scenario: String,
+    /// The scenario's name, its seed and every fault it was to play: `gatestage rig FILE --schedule summary.json`
+    /// plays them again.
+    #[serde(flatten)]
+    pub played: Played,
     /// All requests.
     pub total: Tally,
     /// Unkeyed (`read`) and keyed (`submit`) requests.
@@ -148,7 +151,7 @@
 
 /// Sums up the records of a run.
 pub fn summarise(
-    scenario: &str,
+    played: Played,
     records: &[Record],
     faults: Vec<Happened>,
     shunned: Vec<Shunned>,
@@ -173,7 +176,7 @@
     let latency = Percentiles::of(&histogram);
     let lost = records.iter().filter(|r| matches!(r.outcome, Outcome::Lost));
     Summary {
-        scenario: scenario.to_owned(),
+        played,
         total,
         by_class: classes.into(),
         per_second,
@@ -206,7 +209,7 @@
     root.fill(&WHITE)?;
     let seconds = summary.per_second.len().max(1) as f64;
     let mut chart = ChartBuilder::on(&root)
-        .caption(format!("{}: shares per second", summary.scenario), ("sans-serif", 18))
+        .caption(format!("{}: shares per second", summary.played.scenario), ("sans-serif", 18))
         .margin(12)
         .x_label_area_size(36)
         .y_label_area_size(44)
--- a/src/rig/scenario.rs
+++ b/src/rig/scenario.rs
@@ -3,6 +3,7 @@
 //! Every number is checked before anything starts; an error names the line of the file that is wrong.
 
 use super::group::GroupSpec;
+use super::nemesis::Nemesis;
 use super::step::{Places, Step, StepError};
 use serde::{Deserialize, Serialize};
 use std::net::IpAddr;
@@ -49,6 +50,12 @@
     /// What goes wrong, and when.
     #[serde(default, rename = "fault")]
     pub faults: Vec<Fault>,
+    /// Faults drawn from the seed, beside those on the timeline.
+    #[serde(default)]
+    pub nemesis: Option<Nemesis>,
+    /// The schedule of an earlier run, in place of the faults and the nemesis of the file.
+    #[serde(skip)]
+    replayed: Option<Vec<Step>>,
 }
 
 /// One proxy.
@@ -270,6 +277,8 @@
     Malformed(String),
     /// A value makes no sense: the line, and what is wrong.
     Invalid(usize, String),
+    /// The file given as a schedule holds none for this scenario, and why.
+    NoSchedule(String, String),
 }
 
 impl fmt::Display for ScenarioError {
@@ -278,6 +287,12 @@
             Self::Unreadable(path, error) => write!(f, "cannot read {path}: {error}"),
             Self::Malformed(message) => write!(f, "malformed scenario: {message}"),
             Self::Invalid(line, message) => write!(f, "line {line}: {message}"),
+            Self::NoSchedule(path, why) => {
+                write!(
+                    f,
+                    "{path} can't be played again here: {why}; give the summary.json of a run of this scenario"
+                )
+            }
         }
     }
 }
@@ -377,10 +392,12 @@
         if load.max_requests > MOST_REQUESTS {
             return fail(0..0, format!("`max_requests` is over {MOST_REQUESTS}"));
         }
-        if let Some(group) = &self.group {
-            group
-                .check(self.proxies.len())
-                .map_err(|(span, message)| ScenarioError::Invalid(line(span), message))?;
+        let sections = [
+            self.group.as_ref().map(|group| group.check(self.proxies.len())),
+            self.nemesis.as_ref().map(|nemesis| nemesis.check(*self.duration_s.get_ref())),
+        ];
+        for checked in sections.into_iter().flatten() {
+            checked.or_else(|(span, message)| fail(span, message))?;
         }
         let places = Places::of(self);
         self.faults.iter().try_for_each(|fault| {
@@ -391,15 +408,59 @@
 
     /// Whether a process may lose power, so that its logs must publish what they have synced.
     pub fn cuts_power(&self) -> bool {
-        self.faults.iter().any(|fault| fault.action == Action::PowerLoss)
+        self.schedule().iter().any(|step| step.action == Action::PowerLoss)
     }
 
-    /// The faults in the order of their times.
+    /// Every fault that the run plays, in the order of their times: those on the timeline and those that the seed
+    /// draws, or those of the schedule that is played again.
     pub fn schedule(&self) -> Vec<Step> {
-        let mut steps: Vec<Step> = self.faults.iter().map(Fault::plain).collect();
+        if let Some(steps) = &self.replayed {
+            return steps.clone();
+        }
+        let drawn = self.nemesis.iter().flat_map(|nemesis| nemesis.draw(&Places::of(self), self.seed));
+        let mut steps: Vec<Step> = self.faults.iter().map(Fault::plain).chain(drawn).collect();
         steps.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
         steps
     }
+
+    /// What the run plays, in the form that [`Scenario::play_again`] takes.
+    pub fn played(&self) -> Played {
+        Played { scenario: self.name.clone(), seed: self.seed, schedule: self.schedule() }
+    }
+
+    /// Plays the schedule of an earlier run of this scenario with its seed, as its `summary.json` holds them.
+    ///
+    /// # Errors
+    /// A file that can't be read or holds no schedule, one of another scenario, or one with a fault that does not
+    /// fit this scenario.
+    pub fn play_again(&mut self, path: &Path) -> Result<(), ScenarioError> {
+        let name = path.display().to_string();
+        let text = fs::read_to_string(path).map_err(|e| ScenarioError::Unreadable(name.clone(), e))?;
+        let played: Played = serde_json::from_str(&text)
+            .map_err(|e| ScenarioError::NoSchedule(name.clone(), e.to_string()))?;
+        if played.scenario != self.name {
+            let reason = format!("it is of `{}`, not of `{}`", played.scenario, self.name);
+            return Err(ScenarioError::NoSchedule(name, reason));
+        }
+        let places = Places::of(self);
+        for (k, step) in played.schedule.iter().enumerate() {
+            let checked = step.check(&places, *self.duration_s.get_ref());
+            checked.map_err(|e| ScenarioError::NoSchedule(name.clone(), format!("fault {k}: {e}")))?;
+        }
+        (self.seed, self.replayed) = (played.seed, Some(played.schedule));
+        Ok(())
+    }
+}
+
+/// What a run plays: the part of its `summary.json` from which it is played again.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+pub struct Played {
+    /// The scenario's name.
+    pub scenario: String,
+    /// Its seed: of the arrivals, the service times, and the nemesis that drew the schedule.
+    pub seed: u64,
+    /// Every fault, in the order of their times.
+    pub schedule: Vec<Step>,
 }
 
 /// What a fault's `target` names.
--- a/tests/rig_pairs.rs
+++ b/tests/rig_pairs.rs
@@ -152,3 +152,119 @@
     let length = |name: &str| fs::metadata(state.join(format!("{name}.log"))).unwrap().len();
     assert_eq!([length("cut"), length("whole"), length("longer")], [60, 100, 100]);
 }
+
+/// The schedule that a nemesis draws, without playing it.
+fn drawn(test: &str, scenario: &str, more: &[&str]) -> Value {
+    let file = common::folder(test).join("scenario.toml");
+    fs::write(&file, scenario).unwrap();
+    let output =
+        common::command(&file, &file.with_extension("out")).arg("--check").args(more).output().unwrap();
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    serde_json::from_slice(&output.stdout).expect("JSON")
+}
+
+/// The fault that ends a drawn one: the action, on the same targets or sides.
+fn ends(fault: &Value) -> Option<Value> {
+    let action = match fault["action"].as_str().expect("an action") {
+        "kill" => "restart",
+        "stop" => "cont",
+        "partition" | "delay" | "slow" => "heal",
+        _ => return None,
+    };
+    let mut end = serde_json::json!({"action": action});
+    for key in ["target", "from", "to", "one_way"] {
+        fault.get(key).inspect(|value| end[key] = (*value).clone());
+    }
+    Some(end)
+}
+
+#[test]
+fn a_seed_draws_one_schedule_and_every_fault_in_it_ends_within_the_window() {
+    let scenario = shipped("nemesis.toml");
+    let first = drawn("same", &scenario, &["--seed", "7"]);
+    assert_eq!(first, drawn("same", &scenario, &["--seed", "7"]));
+    assert_ne!(first["schedule"], drawn("same", &scenario, &["--seed", "8"])["schedule"]);
+    let mut kinds = std::collections::BTreeSet::new();
+    for seed in 0..30 {
+        let played = drawn("bounds", &scenario, &["--seed", &seed.to_string()]);
+        let mut faults = played["schedule"].as_array().expect("faults").clone();
+        for fault in &faults {
+            kinds.insert(fault["action"].as_str().unwrap().to_owned());
+            let at = fault["at_s"].as_f64().unwrap();
+            let back = at + fault["down_s"].as_f64().unwrap_or(0.0);
+            assert!(at >= 2.0 && back <= 12.0, "seed {seed}: {fault}");
+        }
+        let mut open = 0;
+        for at in (0..faults.len()).rev() {
+            let Some(end) = ends(&faults[at]) else { continue };
+            let matches = |f: &Value| end.as_object().unwrap().iter().all(|(k, v)| f[k] == *v);
+            let found = (at + 1..faults.len()).find(|&later| matches(&faults[later]));
+            faults.remove(found.unwrap_or_else(|| panic!("seed {seed}: no end of {}", faults[at])));
+            open += 1;
+        }
+        assert!(open <= 10 && !faults.iter().any(|f| f["action"] == "heal" || f["action"] == "restart"));
+    }
+    for kind in ["partition", "delay", "slow", "kill", "stop", "lose_disk", "power_loss"] {
+        assert!(kinds.contains(kind), "thirty seeds drew no {kind}: {kinds:?}");
+    }
+}
+
+#[test]
+fn a_run_is_played_again_from_its_report_and_all_proxies_serve_after_it() {
+    let short = shipped("nemesis.toml")
+        .replace("duration_s = 15", "duration_s = 9")
+        .replace("count = 10", "count = 6");
+    let short = short.replace("window = [2, 12]", "window = [1, 4]").replace("rate = 150", "rate = 60");
+    let (first, run) = summary("nemesis", &short, "nemesis");
+    assert!(first["schedule"].as_array().unwrap().len() >= 6 && first["seed"] == 81, "{first}");
+    let records = fs::read_to_string(run.join("requests.jsonl")).unwrap();
+    let records: Vec<Value> = records.lines().map(|l| serde_json::from_str(l).unwrap()).collect();
+    for proxy in 0..3 {
+        let after = |r: &&Value| r["proxy"] == proxy && r["sent_us"].as_u64().unwrap() > 6_000_000;
+        let served = records
+            .iter()
+            .filter(after)
+            .filter(|r| r["outcome"] == "served" || r["outcome"] == "late")
+            .count();
+        assert!(served > 20, "proxy-{proxy} answered {served} after the window");
+    }
+    // Another seed and a fault more in the file: the report's schedule takes the place of both.
+    let other = short.replace("seed = 81", "seed = 5")
+        + "\n[[fault]]\nat_s = 1\naction = \"kill\"\ntarget = \"list\"\n";
+    let file = common::folder("again").join("scenario.toml");
+    fs::write(&file, other).unwrap();
+    let out = file.with_extension("out");
+    let report = run.join("summary.json");
+    let again = common::command(&file, &out).arg("--schedule").arg(&report).output().unwrap();
+    assert!(again.status.success(), "{}", String::from_utf8_lossy(&again.stderr));
+    let second: Value = serde_json::from_slice(&fs::read(out.join("nemesis/summary.json")).unwrap()).unwrap();
+    let did =
+        |s: &Value| s["faults"].as_array().unwrap().iter().map(|f| f["what"].clone()).collect::<Vec<_>>();
+    assert_eq!((&first["seed"], &first["schedule"]), (&second["seed"], &second["schedule"]));
+    assert_eq!(did(&first), did(&second));
+    fs::write(&file, shipped("pair-partition.toml")).unwrap();
+    let wrong = common::command(&file, &out).arg("--schedule").arg(&report).output().unwrap();
+    let stderr = String::from_utf8_lossy(&wrong.stderr);
+    assert!(wrong.status.code() == Some(2) && stderr.contains("it is of `nemesis`"), "{stderr}");
+}
+
+#[test]
+fn a_bad_nemesis_is_refused_with_its_line() {
+    let good = shipped("nemesis.toml");
+    let line = |word: &str| {
+        format!(
+            "line {}",
+            good.lines().collect::<Vec<_>>().iter().rposition(|l| l.starts_with(word)).unwrap() + 1
+        )
+    };
+    let bad = |test: &str, from: &str, to: &str, word: &str| {
+        let key = from.split(' ').next().unwrap();
+        refused(test, &good.replace(from, to), &[&line(key), word]);
+    };
+    bad("past", "window = [2, 12]", "window = [2, 16]", "within the run of 15 s");
+    bad("back", "window = [2, 12]", "window = [5, 5]", "0.2 s long at least");
+    bad("none", "count = 10", "count = 0", "`count` is 0");
+    bad("brief", "longest_s = 3", "longest_s = 0.1", "lasts 0.2 s at least");
+    bad("kind", "kinds = [\"partition\"", "kinds = [\"flood\"", "unknown variant `flood`");
+    refused("empty", &good.replace("kinds = [", "kinds = [] #"), &[&line("kinds"), "name at least one"]);
+}
