Give the rig's errors types that say what its user can do

Need: the rig's functions gave Result<_, String>, which a caller can only print, and most said what failed but not what to do.

The command still prints the text and gives exit code 2.

--- a/src/bin/gatestage.rs
+++ b/src/bin/gatestage.rs
@@ -61,7 +61,8 @@
         return Ok(());
     }
     let program = std::env::current_exe().map_err(|e| format!("where is this program: {e}"))?;
-    let summary = haventrack::rig::run(&scenario, &program, &out.join(&scenario.name))?;
+    let summary = haventrack::rig::run(&scenario, &program, &out.join(&scenario.name));
+    let summary = summary.map_err(|e| e.to_string())?;
     let (total, latency) = (&summary.total, &summary.latency);
     println!(
         "{}: {} sent, {:.3} answered, {} refused, {} lost, {} timed out; p50 {:.1} ms, p99 {:.1} ms, p999 {:.1} ms",
@@ -100,6 +101,7 @@
         }
         Part::RelayOverhead { requests } => {
             let measured = haventrack::rig::relay_overhead(std::net::Ipv4Addr::LOCALHOST.into(), requests);
+            let measured = measured.map_err(|e| e.to_string());
             let printed = measured.and_then(|o| serde_json::to_string_pretty(&o).map_err(|e| e.to_string()));
             finish("relay-overhead", printed.map(|json| println!("{json}")))
         }
--- a/src/rig/mod.rs
+++ b/src/rig/mod.rs
@@ -8,6 +8,7 @@
 
 mod backends;
 mod disk;
+mod error;
 mod group;
 mod links;
 mod load;
@@ -20,6 +21,7 @@
 mod step;
 mod view;
 
+pub use error::{RigError, SectionError};
 pub use group::GroupSpec;
 pub use load::{Outcome, Record};
 pub use nemesis::{Kind, Nemesis};
@@ -69,17 +71,17 @@
 /// # Errors
 /// When a listener can't be opened, a proxy can't start or does not come up, or the report can't be written;
 /// the message names which.
-pub fn run(scenario: &Scenario, program: &Path, out: &Path) -> Result<Summary, String> {
-    std::fs::create_dir_all(out).map_err(|e| format!("cannot make {}: {e}", out.display()))?;
+pub fn run(scenario: &Scenario, program: &Path, out: &Path) -> Result<Summary, RigError> {
+    std::fs::create_dir_all(out).map_err(RigError::write(out))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+    let runtime = runtime.map_err(RigError::Runtime)?;
     let summary = runtime.block_on(play(scenario, program, out))?;
     report::write(&summary, out)?;
     Ok(summary)
 }
 
 /// Starts the scenario's stand-in backends.
-async fn start_backends(scenario: &Scenario) -> Result<Vec<Backend>, String> {
+async fn start_backends(scenario: &Scenario) -> Result<Vec<Backend>, RigError> {
     let mut backends = Vec::new();
     for group in &scenario.backends {
         let traits = Traits {
@@ -91,20 +93,20 @@
             let n = backends.len();
             let seed = scenario.seed.wrapping_mul(31).wrapping_add(n as u64);
             let backend = Backend::start(scenario.ip(), traits, seed).await;
-            backends.push(backend.map_err(|e| format!("backend-{n}: {e}"))?);
+            backends.push(backend.map_err(RigError::listen(End::Backend(n)))?);
         }
     }
     Ok(backends)
 }
 
 /// Starts the relays before the backends: with `pair_relays` one for each proxy, else one that all proxies share.
-async fn link_backends(scenario: &Scenario, backends: &[Backend], links: &mut Links) -> Result<(), String> {
+async fn link_backends(scenario: &Scenario, backends: &[Backend], links: &mut Links) -> Result<(), RigError> {
     let proxies: Vec<Option<usize>> =
         if scenario.pair_relays { (0..scenario.proxies.len()).map(Some).collect() } else { vec![None] };
     for (n, backend) in backends.iter().enumerate() {
         for &proxy in &proxies {
             let relay = links.add(scenario.ip(), proxy, End::Backend(n), backend.address).await;
-            relay.map_err(|e| format!("a relay before backend-{n}: {e}"))?;
+            relay.map_err(RigError::listen(format!("a relay before backend-{n}")))?;
         }
     }
     Ok(())
@@ -150,7 +152,7 @@
     Ok((links.add(scenario.ip(), Some(me), End::List, target).await?, known))
 }
 
-async fn build(scenario: &Scenario, program: &Path, out: &Path) -> Result<Cluster, String> {
+async fn build(scenario: &Scenario, program: &Path, out: &Path) -> Result<Cluster, RigError> {
     let (host, places, mut links) = (scenario.ip(), Places::of(scenario), Links::default());
     let backends = start_backends(scenario).await?;
     link_backends(scenario, &backends, &mut links).await?;
@@ -160,7 +162,7 @@
     let mut seats = match &scenario.group {
         Some(spec) => {
             let seats = Seats::take(host, places.proxies(), &mut links).await;
-            Some((spec, seats.map_err(|e| format!("the group's addresses: {e}"))?))
+            Some((spec, seats.map_err(RigError::listen("the group"))?))
         }
         None => None,
     };
@@ -168,7 +170,7 @@
     for me in 0..places.proxies() {
         let list = link_list(scenario, me, registry.address, &members, &mut links).await;
         let (list, known) =
-            list.map_err(|e| format!("the relay from proxy-{me} to the list service: {e}"))?;
+            list.map_err(RigError::listen(format!("the relay from proxy-{me} to the list service")))?;
         let state = procs::home(out, me).join("group");
         let group = seats.as_ref().map(|(spec, s)| group::config(spec, me, &s.addresses, &links, &state));
         told.push(Told { list, known, group });
@@ -191,16 +193,16 @@
 /// Waits until `GET path` answers 200, as the front does with `/up` before it takes a proxy in.
 async fn come_up(
     address: std::net::SocketAddr,
-    path: &str,
+    path: &'static str,
     name: &str,
     patience: Duration,
-) -> Result<(), String> {
+) -> Result<(), RigError> {
     let client = hyper_util::client::legacy::Client::builder(hyper_util::rt::TokioExecutor::new())
         .build::<_, http_body_util::Empty<bytes::Bytes>>(
         hyper_util::client::legacy::connect::HttpConnector::new(),
     );
     let end = Instant::now() + patience;
-    let uri: hyper::Uri = format!("http://{address}{path}").parse().map_err(|e| format!("{name}: {e}"))?;
+    let uri: hyper::Uri = format!("http://{address}{path}").parse().map_err(RigError::form("an address"))?;
     while Instant::now() < end {
         if let Ok(Ok(answer)) = tokio::time::timeout(Duration::from_secs(1), client.get(uri.clone())).await {
             if answer.status() == 200 {
@@ -209,10 +211,10 @@
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    Err(format!("{name} did not answer GET {path} within {patience:?}; see {name}.log"))
+    Err(RigError::NotUp { name: name.to_owned(), path, patience })
 }
 
-async fn play(scenario: &Scenario, program: &Path, out: &Path) -> Result<Summary, String> {
+async fn play(scenario: &Scenario, program: &Path, out: &Path) -> Result<Summary, RigError> {
     let cluster = Arc::new(build(scenario, program, out).await?);
     let load = &scenario.load;
     let clients = load::Clients {
@@ -232,7 +234,7 @@
     tokio::spawn(Arc::clone(&front).probe(Duration::from_millis(250), end));
     let timeline = tokio::spawn(timeline(Arc::clone(&cluster), scenario.schedule(), started));
     let records = load::drive(front, clients, started).await;
-    let happened = timeline.await.map_err(|e| format!("the timeline ended: {e}"))?;
+    let happened = timeline.await.map_err(RigError::Timeline)?;
     for proxy in cluster.proxies.lock().unwrap_or_else(|e| e.into_inner()).iter_mut() {
         proxy.end();
     }
@@ -415,12 +417,12 @@
 }
 
 /// Every request's record as a JSON line, in `requests.jsonl`.
-fn write_records(records: &[Record], out: &Path) -> Result<(), String> {
+fn write_records(records: &[Record], out: &Path) -> Result<(), RigError> {
     let mut text = String::new();
     for record in records {
-        text.push_str(&serde_json::to_string(record).map_err(|e| format!("a record: {e}"))?);
+        text.push_str(&serde_json::to_string(record).map_err(RigError::form("a request's record"))?);
         text.push('\n');
     }
     let path = out.join("requests.jsonl");
-    std::fs::write(&path, text).map_err(|e| format!("cannot write {}: {e}", path.display()))
+    std::fs::write(&path, text).map_err(RigError::write(&path))
 }
--- a/src/rig/report.rs
+++ b/src/rig/report.rs
@@ -1,6 +1,7 @@
 //! The report of a run: shares per second and per class, a latency histogram (`hdrhistogram`), a plot
 //! (`plotters`, SVG) and a JSON summary that tests read.
 
+use super::error::RigError;
 use super::load::{Outcome, Record};
 use super::scenario::Played;
 use hdrhistogram::Histogram;
@@ -192,11 +193,12 @@
 ///
 /// # Errors
 /// When a file can't be written or the plot can't be drawn.
-pub fn write(summary: &Summary, out: &Path) -> Result<(), String> {
-    let json = serde_json::to_string_pretty(summary).map_err(|e| format!("cannot write the summary: {e}"))?;
+pub fn write(summary: &Summary, out: &Path) -> Result<(), RigError> {
+    let json = serde_json::to_string_pretty(summary).map_err(RigError::form("the summary"))?;
     let path = out.join("summary.json");
-    std::fs::write(&path, json).map_err(|e| format!("cannot write {}: {e}", path.display()))?;
-    plot(summary, &out.join("plot.svg")).map_err(|e| format!("cannot draw the plot: {e}"))
+    std::fs::write(&path, json).map_err(RigError::write(&path))?;
+    let path = out.join("plot.svg");
+    plot(summary, &path).map_err(|e| RigError::Plot { path: path.clone(), why: e.to_string() })
 }
 
 /// A line of the plot: its label, its colour, and what of a second it counts.
