Take signals before the list service says that it listens

Cause: run() said that it listens two lines before it set up SIGHUP, whose default ends a process (src/registry/mod.rs). Ruled out: the file read while half written (that is logged and changes nothing). Change: the handlers come first.

--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -122,9 +122,10 @@
     let (revision, _) = watch::channel(0);
     let shared = Arc::new(Shared { store: Mutex::new(Store::new(config.keep_changes)), revision });
     shared.replace(config.members);
-    eprintln!("registry listens on {address}, revision {}", shared.store().revision());
+    // Whoever reads that it listens may send a signal at once.
     let mut hang_up = signal(SignalKind::hangup()).map_err(lacks("SIGHUP"))?;
     let mut stop = signal(SignalKind::terminate()).map_err(lacks("SIGTERM"))?;
+    eprintln!("registry listens on {address}, revision {}", shared.store().revision());
     tokio::spawn(accept(listener, Arc::clone(&shared)));
     loop {
         tokio::select! {
