--- a/src/proxy/drain.rs
+++ b/src/proxy/drain.rs
@@ -7,9 +7,9 @@
 //! | after SIGTERM | what |
 //! |---|---|
 //! | 0 | `/up` says no, each answer closes its connection, the module hears when the process ends |
-//! | 0.5 s ([`OPEN_FOR`]) | idle connections close, those on which nothing unread has come |
-//! | SIGKILL - 0.25 s ([`LAST_READ`]) | last read: a request that is not whole by now is refused |
-//! | SIGKILL - 0.1 s ([`LAST_ANSWER`]) | last answer: whatever came after SIGTERM has one by now |
+//! | 0.5 s (`OPEN_FOR`) | idle connections close, those on which nothing unread has come |
+//! | SIGKILL - 0.25 s (`LAST_READ`) | last read: a request that is not whole by now is refused |
+//! | SIGKILL - 0.1 s (`LAST_ANSWER`) | last answer: whatever came after SIGTERM has one by now |
 //!
 //! New connections are taken up to the end (with a successor: by that one), for the front may be late. The
 //! process ends when the last client has gone; while a client waits for an answer it stays. On standby the first
