Test a group of real proxies on the rig: cut in two, a disk lost, the power of all lost

Three voters through the relays of their ordered pairs: cut off, the first leader is followed by another in a later term and hears of it at the heal; the proxy that lost its disk is back under another identity; after the power loss each has the identity it had. Seen to fail with a partition that passes over the relays between proxies (no other leads).

--- a/tests/rig_pairs.rs
+++ b/tests/rig_pairs.rs
@@ -268,3 +268,39 @@
     bad("kind", "kinds = [\"partition\"", "kinds = [\"flood\"", "unknown variant `flood`");
     refused("empty", &good.replace("kinds = [", "kinds = [] #"), &[&line("kinds"), "name at least one"]);
 }
+
+/// The events of a proxy's log, as JSON, of this name.
+fn events(run: &Path, proxy: usize, name: &str) -> Vec<Value> {
+    let found = lines(run, proxy, &format!("\"event\":\"{name}\""));
+    found.iter().map(|l| serde_json::from_str(l).expect("a line of JSON")).collect()
+}
+
+#[test]
+fn a_group_on_the_rig_is_cut_in_two_loses_a_disk_and_loses_its_power() {
+    let group = "[group]\nname = \"region-a\"\nvoters = [\"proxy-0\", \"proxy-1\", \"proxy-2\"]\n\n[[proxy]]";
+    let head = calm("pair-partition.toml").split_once("[[fault]]").unwrap().0.replacen("[[proxy]]", group, 1);
+    let sides = "from = [\"proxy-0\"]\nto = [\"proxy-1\", \"proxy-2\"]\n";
+    let faults = format!(
+        "[[fault]]\nat_s = 1\naction = \"partition\"\n{sides}[[fault]]\nat_s = 6\naction = \"heal\"\n{sides}\
+         [[fault]]\nat_s = 9\naction = \"lose_disk\"\ntarget = \"proxy-1\"\n\
+         [[fault]]\nat_s = 17\naction = \"power_loss\"\ntargets = [\"zone-a\"]\ndown_s = 0.2\n"
+    );
+    let scenario =
+        head.replace("duration_s = 12", "duration_s = 24").replace("rate = 120", "rate = 30") + &faults;
+    let (_, run) = summary("group", &scenario, "pair-partition");
+    let identities = |proxy| {
+        let starts = events(&run, proxy, "group_starts");
+        starts.iter().map(|e| e["identity"].as_str().unwrap().to_owned()).collect::<Vec<_>>()
+    };
+    // The first of the voters makes the group and leads it; cut off, it is followed by another in a later term.
+    let led = |proxy| events(&run, proxy, "leader").iter().map(|e| e["term"].as_u64().unwrap()).max();
+    assert!(led(1).max(led(2)) >= Some(2), "no other led: {:?} {:?}", led(1), led(2));
+    assert!(events(&run, 0, "follows").iter().any(|e| e["term"].as_u64() >= Some(2)), "proxy-0 hears of it");
+    for (proxy, starts) in [(0, 2), (1, 3), (2, 2)] {
+        let seen = identities(proxy);
+        assert_eq!(seen.len(), starts, "starts of proxy-{proxy}: {seen:?}");
+        assert_eq!(seen[starts - 2], seen[starts - 1], "its disk outlives the power loss");
+    }
+    let [before, after, ..] = &identities(1)[..] else { unreachable!("three starts") };
+    assert_ne!(before, after, "with its disk proxy-1 lost its identity");
+}
