Give each rig run's processes an address of their own, so that no port is held

Cause: the rig took free ports on 127.0.0.1 and let them go just before the processes started. Connections on this machine have 127.0.0.1 as their source and ports from the same range: in one of two plays of the pairs' tests side by side, at a load of 26, a group's listener found its port in use ("Address already in use") and the run could not start. A killed proxy's port could be taken the same way before its restart.

Change: on the default host the processes listen on another address of 127.0.0.0/8, drawn for the run; the relays and backends stay on 127.0.0.1, held by the rig. All ports of the proxies are held together until the first starts. A host set in the scenario is used as it is. Rejected: ports below the range that connections use; they'd be guessed rather than given by the kernel.

--- a/src/rig/group.rs
+++ b/src/rig/group.rs
@@ -5,7 +5,7 @@
 use super::links::Links;
 use super::step::End;
 use serde::{Deserialize, Serialize};
-use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::net::{IpAddr, SocketAddr};
 use std::ops::Range;
 use std::path::Path;
 use toml::Spanned;
@@ -39,35 +39,17 @@
     }
 }
 
-/// The addresses at which the proxies listen for their peers, kept from other users until each proxy starts.
-pub struct Seats {
-    reserved: Vec<TcpListener>,
-    /// By proxy number.
-    pub addresses: Vec<SocketAddr>,
-}
-
-impl Seats {
-    /// Takes one free port on `host` for each proxy and starts a relay for every ordered pair.
-    ///
-    /// # Errors
-    /// When a port can't be had or a relay can't listen.
-    pub async fn take(host: IpAddr, proxies: usize, links: &mut Links) -> std::io::Result<Self> {
-        let reserved: Vec<_> =
-            (0..proxies).map(|_| TcpListener::bind((host, 0))).collect::<std::io::Result<_>>()?;
-        let addresses: Vec<_> =
-            reserved.iter().map(TcpListener::local_addr).collect::<std::io::Result<_>>()?;
-        for me in 0..proxies {
-            for peer in (0..proxies).filter(|&peer| peer != me) {
-                links.add(host, Some(me), End::Proxy(peer), addresses[peer]).await?;
-            }
+/// Starts a relay for every ordered pair of proxies, whose addresses for their peers are `seats`.
+///
+/// # Errors
+/// When a relay can't listen.
+pub async fn link(host: IpAddr, seats: &[SocketAddr], links: &mut Links) -> std::io::Result<()> {
+    for me in 0..seats.len() {
+        for peer in (0..seats.len()).filter(|&peer| peer != me) {
+            links.add(host, Some(me), End::Proxy(peer), seats[peer]).await?;
         }
-        Ok(Self { reserved, addresses })
-    }
-
-    /// Lets go of the ports; the proxies take them next.
-    pub fn release(&mut self) {
-        self.reserved.clear();
     }
+    Ok(())
 }
 
 /// The group's configuration file of proxy `me`: its own address, and its peers as it dials them.
--- a/src/rig/links.rs
+++ b/src/rig/links.rs
@@ -118,7 +118,8 @@
 
 #[cfg(test)]
 mod tests {
-    use super::super::group::{GroupSpec, Seats, config};
+    use super::super::group::{GroupSpec, config, link};
+    use super::super::procs::Reserved;
     use super::*;
     use std::net::Ipv4Addr;
     use std::path::Path;
@@ -152,15 +153,17 @@
         let wait = |passes| Duration::from_millis(if passes { 20_000 } else { 600 });
         let host = Ipv4Addr::LOCALHOST.into();
         let mut links = Links::default();
-        let mut seats = Seats::take(host, 3, &mut links).await.unwrap();
+        let reserved = Reserved::take(host, 3).unwrap();
+        let seats = reserved.addresses().unwrap();
+        link(host, &seats, &mut links).await.unwrap();
         let spec: GroupSpec = toml::from_str("name = \"g\"\nvoters = [\"proxy-0\"]").unwrap();
-        let file = |me| config(&spec, me, &seats.addresses, &links, Path::new("/state"));
+        let file = |me| config(&spec, me, &seats, &links, Path::new("/state"));
         let files: Vec<toml::Table> = (0..3).map(|me| file(me).parse().unwrap()).collect();
-        seats.release();
+        drop(reserved);
         let mut listeners = Vec::new();
         for (me, file) in files.iter().enumerate() {
             let listen = file["group"]["listen"].as_str().unwrap();
-            assert_eq!(listen, seats.addresses[me].to_string());
+            assert_eq!(listen, seats[me].to_string());
             listeners.push(TcpListener::bind(listen).await.unwrap());
         }
         let sides = |a: usize, b: [usize; 2]| (BTreeSet::from([End::Proxy(a)]), b.map(End::Proxy).into());
--- a/src/rig/mod.rs
+++ b/src/rig/mod.rs
@@ -32,9 +32,8 @@
 
 use crate::registry::Member;
 use backends::{Backend, Behaviour, Traits};
-use group::Seats;
 use links::Links;
-use procs::{Process, Proxy, Told};
+use procs::{Process, Proxy, Reserved, Told};
 use report::Happened;
 use rustix::process::Signal;
 use std::collections::BTreeSet;
@@ -154,30 +153,30 @@
 
 async fn build(scenario: &Scenario, program: &Path, out: &Path) -> Result<Cluster, RigError> {
     let (host, places, mut links) = (scenario.ip(), Places::of(scenario), Links::default());
+    let own = procs::own_address(host);
     let backends = start_backends(scenario).await?;
     link_backends(scenario, &backends, &mut links).await?;
     let members = list_members(scenario, &backends, &links);
-    let registry = Process::registry(program, host, &members, out)?;
+    let registry = Process::registry(program, own, &members, out)?;
     come_up(registry.address, "/discovery/hosts", &registry.name, START_PATIENCE).await?;
-    let mut seats = match &scenario.group {
-        Some(spec) => {
-            let seats = Seats::take(host, places.proxies(), &mut links).await;
-            Some((spec, seats.map_err(RigError::listen("the group"))?))
-        }
-        None => None,
-    };
+    // Each proxy's address for clients, then each one's for its peers.
+    let count = places.proxies();
+    let reserved = Reserved::take(own, 2 * count).map_err(RigError::listen("the proxies"))?;
+    let addresses = reserved.addresses().map_err(RigError::listen("the proxies"))?;
+    let (doors, seats) = addresses.split_at(count);
+    if scenario.group.is_some() {
+        group::link(host, seats, &mut links).await.map_err(RigError::listen("a relay of the group"))?;
+    }
     let mut told = Vec::new();
-    for me in 0..places.proxies() {
+    for (me, &listen) in doors.iter().enumerate() {
         let list = link_list(scenario, me, registry.address, &members, &mut links).await;
-        let (list, known) =
-            list.map_err(RigError::listen(format!("the relay from proxy-{me} to the list service")))?;
+        let from_me = format!("the relay from proxy-{me} to the list service");
+        let (list, known) = list.map_err(RigError::listen(from_me))?;
         let state = procs::home(out, me).join("group");
-        let group = seats.as_ref().map(|(spec, s)| group::config(spec, me, &s.addresses, &links, &state));
-        told.push(Told { list, known, group });
-    }
-    if let Some((_, seats)) = &mut seats {
-        seats.release();
+        let group = scenario.group.as_ref().map(|spec| group::config(spec, me, seats, &links, &state));
+        told.push(Told { listen, list, known, group });
     }
+    drop(reserved);
     let mut proxies = Vec::new();
     for (me, told) in told.iter().enumerate() {
         proxies.push(Proxy::start(program, scenario, me, told, out)?);
--- a/src/rig/procs.rs
+++ b/src/rig/procs.rs
@@ -8,7 +8,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::fs::{self, File};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
@@ -27,6 +27,8 @@
 
 /// What one proxy is told of the others.
 pub struct Told {
+    /// Where it listens for clients.
+    pub listen: SocketAddr,
     /// Where it dials the list service.
     pub list: SocketAddr,
     /// The members as it knows them at its start, with the addresses at which it dials them.
@@ -59,16 +61,48 @@
         "safety": {"coldFrom": 0.3, "coldUs": 8_000_000, "fallMultiple": 3.0, "fallUs": 2_000_000}})
 }
 
-/// A free port on `host`, as the kernel gives one; the proxy takes it with `SO_REUSEADDR`.
-fn free_port(host: std::net::IpAddr) -> std::io::Result<SocketAddr> {
-    TcpListener::bind((host, 0))?.local_addr()
+/// The loopback address that the processes of one run listen on. A run on 127.0.0.1 takes another of 127.0.0.0/8 for
+/// them, drawn anew: connections from anywhere on this machine have 127.0.0.1 as their source, and any of them could
+/// else hold the port of a process that is about to start, or that is down for a while. A `host` of the scenario's own
+/// stays.
+pub fn own_address(host: IpAddr) -> IpAddr {
+    let mut rng = fastrand::Rng::new();
+    let own = IpAddr::from([127, rng.u8(64..192), rng.u8(..), rng.u8(1..255)]);
+    // Not every system has all of 127.0.0.0/8.
+    let usable = host == IpAddr::V4(Ipv4Addr::LOCALHOST) && TcpListener::bind((own, 0)).is_ok();
+    if usable { own } else { host }
+}
+
+/// Free ports, as the kernel gives them, held until they are let go by dropping this; the processes then take them
+/// with `SO_REUSEADDR`.
+pub struct Reserved {
+    held: Vec<TcpListener>,
+}
+
+impl Reserved {
+    /// Holds this many ports on `host`.
+    ///
+    /// # Errors
+    /// When one can't be had.
+    pub fn take(host: IpAddr, ports: usize) -> std::io::Result<Self> {
+        let held = (0..ports).map(|_| TcpListener::bind((host, 0))).collect::<std::io::Result<_>>()?;
+        Ok(Self { held })
+    }
+
+    /// Their addresses, in order.
+    ///
+    /// # Errors
+    /// When the system does not say one.
+    pub fn addresses(&self) -> std::io::Result<Vec<SocketAddr>> {
+        self.held.iter().map(TcpListener::local_addr).collect()
+    }
 }
 
 impl Process {
     /// Writes the configuration of proxy `me` under `out` and starts it.
     ///
     /// # Errors
-    /// When no port is free, the files can't be written or the program can't start.
+    /// When the files can't be written or the program can't start.
     pub fn start(
         program: &Path,
         scenario: &Scenario,
@@ -77,7 +111,7 @@
         out: &Path,
     ) -> Result<Self, RigError> {
         let name = format!("proxy-{me}");
-        let address = free_port(scenario.ip()).map_err(RigError::listen(&name))?;
+        let address = told.listen;
         let zone = scenario.zone(scenario.proxies[me].zone.get_ref()).unwrap_or_default();
         let mut config = json!({"name": name, "listen": address.to_string(), "discovery": told.list.to_string(),
             "seed": format!("{:016x}", scenario.seed.wrapping_add(me as u64)),
@@ -116,7 +150,8 @@
         members: &[Member],
         out: &Path,
     ) -> Result<Self, RigError> {
-        let address = free_port(host).map_err(RigError::listen("the registry"))?;
+        let address = Reserved::take(host, 1).and_then(|r| Ok(r.addresses()?[0]));
+        let address = address.map_err(RigError::listen("the registry"))?;
         let path = out.join("registry.toml");
         write_members(&path, address, members)?;
         let args = vec!["registry".into(), "--config".into(), path.into_os_string()];
--- a/src/rig/scenario.rs
+++ b/src/rig/scenario.rs
@@ -27,7 +27,8 @@
     /// For every random number of the rig: arrivals, service times, errors.
     #[serde(default = "one")]
     pub seed: u64,
-    /// The address that every listener of the rig takes; it must be on loopback (127.0.0.0/8 or ::1).
+    /// The address that every listener of the rig takes; it must be on loopback (127.0.0.0/8 or ::1). On 127.0.0.1, the
+    /// default, the processes of the program listen on another address of 127.0.0.0/8, drawn for the run.
     #[serde(default = "loopback")]
     pub host: Spanned<String>,
     /// The zones, in order; proxies and backends name theirs.
