Make operators' calls on the rig and keep each run's history as JSON lines

Need: what operators were told and what became of the processes could not be read from a run, so nothing could say whether a promise was kept.

Change: `action = "call"` with a `line` on the timeline, and `[calls]` (`every_ms`, `most`, `seed`, `targets`), a bounded stream of maint-on and maint-off drawn from the seed. Proxies of such a scenario get an operators' address; each has its own $TMPDIR already. `history.jsonl` holds, on one monotonic clock from the run's start, every call (start, end, answer, or why there was none: unreachable, broke, timed out), a look at the proxy's stored bans after each answered call and at the end, every fault, every start and end of a process, and every line of a process's log that is a JSON object with `event`, with its node, its pid and the two looks between which it was written. One writer holds the entries (a million at most) and writes them once, sorted: a stream to disk was rejected, since what the logs show is seen later than it happened. The pid of a line follows from how long the log was at each start, so a line seen after a restart is not given to the wrong process.

The tests were seen to fail with no operators' address given and with the events of the logs not taken.

--- a/src/bin/gatestage.rs
+++ b/src/bin/gatestage.rs
@@ -22,7 +22,7 @@
     Rig {
         /// The scenario's TOML file.
         scenario: PathBuf,
-        /// Where the report goes: `summary.json`, `plot.svg`, `requests.jsonl`, the proxies' logs.
+        /// Where the report goes: `summary.json`, `plot.svg`, `requests.jsonl`, `history.jsonl`, the proxies' logs.
         #[arg(long, default_value = "logs/rig")]
         out: PathBuf,
         /// Only checks the scenario and prints the schedule of its faults as JSON; nothing starts.
--- a/src/rig/error.rs
+++ b/src/rig/error.rs
@@ -107,7 +107,7 @@
     }
 }
 
-/// What is wrong with a scenario's `[group]` or `[nemesis]`.
+/// What is wrong with a scenario's `[group]`, `[nemesis]` or `[calls]`.
 #[derive(Debug, thiserror::Error, PartialEq)]
 pub enum SectionError {
     /// A voter that is no proxy.
@@ -121,6 +121,25 @@
     /// A voter named twice.
     #[error("voter `{0}` is named twice; name each once")]
     VoterTwice(String),
+    /// Calls too close together.
+    #[error("`every_ms` is {given}; it must be {least} or more")]
+    Every {
+        /// As given.
+        given: f64,
+        /// The least.
+        least: f64,
+    },
+    /// No calls, or too many.
+    #[error("`most` is {given}; it must lie in [1, {most}]")]
+    Calls {
+        /// As given.
+        given: usize,
+        /// The most.
+        most: usize,
+    },
+    /// Calls to or about what is no proxy and no backend.
+    #[error("`{0}` is no proxy and no backend of this scenario; name a `proxy-N` or a `backend-N` of it")]
+    CallTarget(String),
     /// No kind of fault to draw.
     #[error("`kinds` is empty; name at least one kind of fault")]
     NoKinds,
--- a/src/rig/mod.rs
+++ b/src/rig/mod.rs
@@ -1,15 +1,17 @@
 //! The cluster rig: several processes of `gatestage proxy` and one of `gatestage registry` on loopback, stand-in
-//! backends, a fault relay on every pair that talks, open-loop clients, and a timeline of faults; one report per
-//! run.
+//! backends, a fault relay on every pair that talks, open-loop clients, and a timeline of faults and operators'
+//! calls; one report per run, and a history.
 //!
-//! Its one face is [`run`]: a checked [`Scenario`] in, a [`Summary`] out, with `summary.json`, `plot.svg`, the
-//! proxies' logs and configurations left in the folder of the run. Every run is bounded by the scenario's
-//! duration and request count, and every listener is on loopback.
+//! Its one face is [`run`]: a checked [`Scenario`] in, a [`Summary`] out, with `summary.json`, `plot.svg`,
+//! `history.jsonl`, the proxies' logs and configurations left in the folder of the run. Every run is bounded by the
+//! scenario's duration and request count, and every listener is on loopback.
 
 mod backends;
+mod calls;
 mod disk;
 mod error;
 mod group;
+pub mod history;
 mod links;
 mod load;
 mod nemesis;
@@ -32,6 +34,8 @@
 
 use crate::registry::Member;
 use backends::{Backend, Behaviour, Traits};
+use calls::Caller;
+use history::{Follower, History, What};
 use links::Links;
 use procs::{Process, Proxy, Reserved, Told};
 use report::Happened;
@@ -47,6 +51,8 @@
 const START_PATIENCE: Duration = Duration::from_secs(15);
 /// What `slow` does to a backend's service times when it says nothing else.
 const SLOW_FACTOR: f64 = 2.0;
+/// How often the processes and their logs are looked at for the history.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
 
 /// What the rig runs: the proxies and the list service are processes of the program; the backends and the
 /// relays live in this one.
@@ -63,6 +69,8 @@
     /// The folder of the run: configurations, logs, the list service's file.
     out: PathBuf,
     proxies: Mutex<Vec<Proxy>>,
+    history: History,
+    caller: Caller,
 }
 
 /// Runs a scenario with `program` as the proxies' program (`gatestage`) and leaves its report in `out`.
@@ -151,7 +159,12 @@
     Ok((links.add(scenario.ip(), Some(me), End::List, target).await?, known))
 }
 
-async fn build(scenario: &Scenario, program: &Path, out: &Path) -> Result<Cluster, RigError> {
+async fn build(
+    scenario: &Scenario,
+    program: &Path,
+    out: &Path,
+    history: History,
+) -> Result<Cluster, RigError> {
     let (host, places, mut links) = (scenario.ip(), Places::of(scenario), Links::default());
     let own = procs::own_address(host);
     let backends = start_backends(scenario).await?;
@@ -159,11 +172,12 @@
     let members = list_members(scenario, &backends, &links);
     let registry = Process::registry(program, own, &members, out)?;
     come_up(registry.address, "/discovery/hosts", &registry.name, START_PATIENCE).await?;
-    // Each proxy's address for clients, then each one's for its peers.
+    // Each proxy's address for clients, then each one's for its peers, then each one's for operators.
     let count = places.proxies();
-    let reserved = Reserved::take(own, 2 * count).map_err(RigError::listen("the proxies"))?;
+    let reserved = Reserved::take(own, 3 * count).map_err(RigError::listen("the proxies"))?;
     let addresses = reserved.addresses().map_err(RigError::listen("the proxies"))?;
-    let (doors, seats) = addresses.split_at(count);
+    let (doors, rest) = addresses.split_at(count);
+    let (seats, desks) = rest.split_at(count);
     if scenario.group.is_some() {
         group::link(host, seats, &mut links).await.map_err(RigError::listen("a relay of the group"))?;
     }
@@ -174,7 +188,8 @@
         let (list, known) = list.map_err(RigError::listen(from_me))?;
         let state = procs::home(out, me).join("group");
         let group = scenario.group.as_ref().map(|spec| group::config(spec, me, seats, &links, &state));
-        told.push(Told { listen, list, known, group });
+        let admin = calls::any(scenario).then_some(desks[me]);
+        told.push(Told { listen, admin, list, known, group });
     }
     drop(reserved);
     let mut proxies = Vec::new();
@@ -184,9 +199,10 @@
     for proxy in &proxies {
         come_up(proxy.address, "/up", &proxy.name, START_PATIENCE).await?;
     }
+    let caller = Caller::new(history.clone(), calls::shared(scenario), &proxies);
     let (registry, members, proxies) = (Mutex::new(registry), Mutex::new(members), Mutex::new(proxies));
     let (program, out) = (program.to_owned(), out.to_owned());
-    Ok(Cluster { backends, links, places, registry, members, program, out, proxies })
+    Ok(Cluster { backends, links, places, registry, members, program, out, proxies, history, caller })
 }
 
 /// Waits until `GET path` answers 200, as the front does with `/up` before it takes a proxy in.
@@ -214,7 +230,8 @@
 }
 
 async fn play(scenario: &Scenario, program: &Path, out: &Path) -> Result<Summary, RigError> {
-    let cluster = Arc::new(build(scenario, program, out).await?);
+    let history = History::begin(&scenario.name, calls::shared(scenario));
+    let cluster = Arc::new(build(scenario, program, out, history.clone()).await?);
     let load = &scenario.load;
     let clients = load::Clients {
         rate: *load.rate.get_ref(),
@@ -229,23 +246,50 @@
         cluster.proxies.lock().unwrap_or_else(|e| e.into_inner()).iter().map(|p| p.address).collect();
     let front = load::Front::new(addresses);
     let started = Instant::now();
+    history.note_at(history.us(started), What::Load);
+    let (over, is_over) = tokio::sync::oneshot::channel();
+    let follower = Follower::new(history.clone(), out);
+    let follower = tokio::spawn(follow(Arc::clone(&cluster), follower, is_over));
+    let stream = tokio::spawn(cluster.caller.clone().stream(calls::draw(scenario), started));
     let end = started + clients.duration;
     tokio::spawn(Arc::clone(&front).probe(Duration::from_millis(250), end));
     let timeline = tokio::spawn(timeline(Arc::clone(&cluster), scenario.schedule(), started));
     let records = load::drive(front, clients, started).await;
     let happened = timeline.await.map_err(RigError::Timeline)?;
+    // What was drawn for the load's time has been begun by its end.
+    stream.await.map_err(RigError::Timeline)?;
+    cluster.caller.finish().await;
+    cluster.caller.read_all(&cluster.running()).await;
+    history.note(What::Over);
+    let _ = over.send(());
+    let mut follower = follower.await.map_err(RigError::Timeline)?;
     for proxy in cluster.proxies.lock().unwrap_or_else(|e| e.into_inner()).iter_mut() {
         proxy.end();
     }
     cluster.registry.lock().unwrap_or_else(|e| e.into_inner()).end();
+    cluster.look(&mut follower);
     let shunned = shunned(&cluster, &happened, started, end);
     let faults = happened.into_iter().map(|done| Happened { at_s: done.at, what: done.what }).collect();
     let pairs = pairs(&cluster.links, started, end);
     let summary = report::summarise(scenario.played(), &records, faults, shunned, pairs);
+    history.write(out)?;
     write_records(&records, out)?;
     Ok(summary)
 }
 
+/// Follows the processes into the history until the run is over.
+async fn follow(
+    cluster: Arc<Cluster>,
+    mut follower: Follower,
+    mut over: tokio::sync::oneshot::Receiver<()>,
+) -> Follower {
+    while matches!(over.try_recv(), Err(tokio::sync::oneshot::error::TryRecvError::Empty)) {
+        cluster.look(&mut follower);
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+    follower
+}
+
 /// A fault that was done.
 struct Done {
     /// Seconds from the start of the load.
@@ -268,6 +312,7 @@
         let touched = apply(&cluster, &step);
         let at = started.elapsed().as_secs_f64();
         let what = step.what();
+        cluster.history.note(What::Fault { what: what.clone() });
         eprintln!("rig: {at:6.2} s  {what}");
         happened.push(Done { at, action: step.action, what, touched });
     }
@@ -294,6 +339,19 @@
 }
 
 impl Cluster {
+    /// Takes what is new of every process into the history.
+    fn look(&self, follower: &mut Follower) {
+        let mut proxies = self.proxies.lock().unwrap_or_else(|e| e.into_inner());
+        proxies.iter_mut().for_each(|proxy| follower.look(proxy));
+        follower.look(&mut self.registry.lock().unwrap_or_else(|e| e.into_inner()));
+    }
+
+    /// The names of the proxies that run.
+    fn running(&self) -> BTreeSet<String> {
+        let mut proxies = self.proxies.lock().unwrap_or_else(|e| e.into_inner());
+        proxies.iter_mut().filter_map(|proxy| proxy.running().then(|| proxy.name.clone())).collect()
+    }
+
     /// Kills these processes at once; then either their folders are emptied, or what their logs had not synced is
     /// cut off.
     fn lose(&self, action: Action, ends: &BTreeSet<End>) {
@@ -318,6 +376,9 @@
     /// Does one fault to one process or stand-in.
     fn apply_to(&self, step: &Step, end: End) {
         match end {
+            End::Proxy(n) if step.action.is_call() => {
+                self.caller.call(n, step.line.as_deref().unwrap_or_default());
+            }
             End::Proxy(n) => {
                 let mut proxies = self.proxies.lock().unwrap_or_else(|e| e.into_inner());
                 self.signal(&mut proxies[n], step.action);
--- a/src/rig/procs.rs
+++ b/src/rig/procs.rs
@@ -2,6 +2,7 @@
 //! Only processes that the rig started are ever signalled.
 
 use super::error::RigError;
+use super::history::{Launch, log_length};
 use super::scenario::Scenario;
 use crate::registry::Member;
 use crate::store::PUBLISH_SYNCED;
@@ -11,6 +12,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::time::Instant;
 
 /// A process of the program that the rig started: a proxy or the list service.
 pub struct Process {
@@ -23,12 +25,18 @@
     /// Its environment beyond the rig's.
     envs: Vec<(&'static str, PathBuf)>,
     child: Option<Child>,
+    /// Where operators call it; `None` where the scenario makes no calls.
+    pub admin: Option<SocketAddr>,
+    /// Its starts, for the history.
+    pub launches: Vec<Launch>,
 }
 
 /// What one proxy is told of the others.
 pub struct Told {
     /// Where it listens for clients.
     pub listen: SocketAddr,
+    /// Where operators call it, if any do.
+    pub admin: Option<SocketAddr>,
     /// Where it dials the list service.
     pub list: SocketAddr,
     /// The members as it knows them at its start, with the addresses at which it dials them.
@@ -123,6 +131,9 @@
         if scenario.proxies[me].keep_state {
             config["state_dir"] = json!(home.join("state"));
         }
+        if let Some(admin) = told.admin {
+            config["admin_addr"] = json!(admin);
+        }
         let path = out.join(format!("{name}.json"));
         fs::write(&path, config.to_string()).map_err(RigError::write(&path))?;
         fs::create_dir_all(&home).map_err(RigError::write(&home))?;
@@ -135,7 +146,15 @@
             fs::write(&path, group).map_err(RigError::write(&path))?;
             envs.push(("GATESTAGE_CONFIG", path));
         }
-        let mut proxy = Self { name, address, args: vec!["proxy".into()], envs, child: None };
+        let mut proxy = Self {
+            name,
+            address,
+            args: vec!["proxy".into()],
+            envs,
+            child: None,
+            admin: told.admin,
+            launches: Vec::new(),
+        };
         proxy.launch(program, out)?;
         Ok(proxy)
     }
@@ -155,7 +174,15 @@
         let path = out.join("registry.toml");
         write_members(&path, address, members)?;
         let args = vec!["registry".into(), "--config".into(), path.into_os_string()];
-        let mut registry = Self { name: "registry".to_owned(), address, args, envs: Vec::new(), child: None };
+        let mut registry = Self {
+            name: "registry".to_owned(),
+            address,
+            args,
+            envs: Vec::new(),
+            child: None,
+            admin: None,
+            launches: Vec::new(),
+        };
         registry.launch(program, out)?;
         Ok(registry)
     }
@@ -166,14 +193,22 @@
     /// When the program can't start.
     pub fn launch(&mut self, program: &Path, out: &Path) -> Result<(), RigError> {
         let path = out.join(format!("{}.log", self.name));
+        let log_from = log_length(&path);
         let log = File::options().create(true).append(true).open(&path).map_err(RigError::write(&path))?;
         let mut command = Command::new(program);
         command.args(&self.args).envs(self.envs.iter().map(|(k, v)| (k, v)));
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
-        self.child = Some(child.map_err(|source| RigError::Start { name: self.name.clone(), source })?);
+        let child = child.map_err(|source| RigError::Start { name: self.name.clone(), source })?;
+        self.launches.push(Launch { at: Instant::now(), pid: child.id(), log_from });
+        self.child = Some(child);
         Ok(())
     }
 
+    /// The folder that it holds for `$TMPDIR`, if it has one of its own.
+    pub fn tmpdir(&self) -> Option<&Path> {
+        self.envs.iter().find(|(name, _)| *name == "TMPDIR").map(|(_, path)| path.as_path())
+    }
+
     /// Sends a signal to this proxy's process, if it still runs.
     pub fn signal(&mut self, signal: Signal) {
         let Some(child) = self.child.as_mut() else { return };
--- a/src/rig/scenario.rs
+++ b/src/rig/scenario.rs
@@ -2,6 +2,7 @@
 //!
 //! Every number is checked before anything starts; an error names the line of the file that is wrong.
 
+use super::calls::CallsSpec;
 use super::group::GroupSpec;
 use super::nemesis::Nemesis;
 use super::step::{Places, Step, StepError};
@@ -54,6 +55,9 @@
     /// Faults drawn from the seed, beside those on the timeline.
     #[serde(default)]
     pub nemesis: Option<Nemesis>,
+    /// A stream of operators' calls.
+    #[serde(default)]
+    pub calls: Option<CallsSpec>,
     /// The schedule of an earlier run, in place of the faults and the nemesis of the file.
     #[serde(skip)]
     replayed: Option<Vec<Step>>,
@@ -148,6 +152,9 @@
     /// For `lose_disk` and `power_loss`: seconds until the process starts again; 0 when left out.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub down_s: Option<N>,
+    /// For `call`: the line of an operator's call to the proxy, such as `maint-on backend-2`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub line: Option<S>,
 }
 
 impl Fault {
@@ -170,6 +177,7 @@
             factor: number(&self.factor),
             bytes_per_s: number(&self.bytes_per_s),
             down_s: number(&self.down_s),
+            line: self.line.as_ref().map(|line| line.get_ref().clone()),
         }
     }
 
@@ -184,7 +192,9 @@
             _ => None,
         };
         let names = || self.target.iter().chain(&self.targets).chain(&self.from);
+        let line = || self.line.as_ref().map(Spanned::span);
         let found = match error {
+            StepError::Line { .. } | StepError::Useless { key: "line", .. } => line(),
             StepError::Number { name: key, .. } | StepError::Useless { key, .. } => {
                 number(key).map(Spanned::span)
             }
@@ -245,6 +255,8 @@
     Drain,
     /// The list service says the backend is `active` again.
     Undrain,
+    /// An operator calls the proxy with the fault's `line`.
+    Call,
 }
 
 impl Action {
@@ -253,6 +265,11 @@
         matches!(self, Self::Kill | Self::Term | Self::Stop | Self::Cont | Self::Restart) || self.loses()
     }
 
+    /// Whether it is an operator's call.
+    pub fn is_call(self) -> bool {
+        self == Self::Call
+    }
+
     /// Whether it takes what processes have with it and starts them again by itself.
     pub fn loses(self) -> bool {
         matches!(self, Self::LoseDisk | Self::PowerLoss)
@@ -379,14 +396,15 @@
         if load.max_requests > MOST_REQUESTS {
             return fail(0..0, format!("`max_requests` is over {MOST_REQUESTS}"));
         }
+        let places = Places::of(self);
         let sections = [
             self.group.as_ref().map(|group| group.check(self.proxies.len())),
             self.nemesis.as_ref().map(|nemesis| nemesis.check(*self.duration_s.get_ref())),
+            self.calls.as_ref().map(|calls| calls.check(&places)),
         ];
         for checked in sections.into_iter().flatten() {
             checked.or_else(|(span, error)| fail(span, error.to_string()))?;
         }
-        let places = Places::of(self);
         self.faults.iter().try_for_each(|fault| {
             let checked = fault.plain().check(&places, *self.duration_s.get_ref());
             checked.or_else(|error| fail(fault.span(&error), error.to_string()))
--- a/src/rig/step.rs
+++ b/src/rig/step.rs
@@ -2,6 +2,7 @@
 //! for, and which pairs talk and so have a relay between them.
 
 use super::scenario::{Action, Fault, Scenario, Target};
+use crate::proxy::admin::Call;
 use std::collections::BTreeSet;
 use std::fmt;
 
@@ -89,6 +90,14 @@
         /// The name in `to` that stands for it.
         name: String,
     },
+    /// The line of a call is none.
+    #[error("`line` `{line}` is no call: {why}; `maint-on backend-0` is one")]
+    Line {
+        /// As given.
+        line: String,
+        /// What is wrong with it.
+        why: String,
+    },
     /// No two of the named processes talk.
     #[error("no process of `from` talks with one of `to` through a relay of its own: {remedy}")]
     Silent {
@@ -162,8 +171,8 @@
     /// Whether a process or stand-in of this sort can be its target.
     fn suits(self, end: End) -> bool {
         match end {
-            End::Proxy(_) => self.on_process(),
-            End::Backend(_) => !self.on_process() && self != Self::Partition,
+            End::Proxy(_) => self.on_process() || self.is_call(),
+            End::Backend(_) => !self.on_process() && !self.is_call() && self != Self::Partition,
             End::List => (self.on_process() && self != Self::LoseDisk) || self.on_relay(),
         }
     }
@@ -185,6 +194,7 @@
             factor: None,
             bytes_per_s: None,
             down_s: None,
+            line: None,
         }
     }
 
@@ -221,7 +231,8 @@
             return format!("{action} {} {arrow} {}", self.from.join(", "), self.to.join(", "));
         }
         let named: Vec<&str> = self.target.iter().chain(&self.targets).map(String::as_str).collect();
-        format!("{action} {}", named.join(", "))
+        let line = self.line.as_ref().map_or(String::new(), |line| format!(": {line}"));
+        format!("{action} {}{line}", named.join(", "))
     }
 
     /// Checks the fault against a run of `duration` seconds between these processes.
@@ -234,6 +245,7 @@
             return Err(StepError::Outside { at: self.at_s, duration });
         }
         self.check_numbers()?;
+        self.check_line()?;
         if self.on_pairs() { self.check_sides(places) } else { self.check_targets(places) }
     }
 
@@ -258,6 +270,20 @@
         Ok(())
     }
 
+    /// A fault has a line when, and only when, it is a call, and the line is one that a proxy understands.
+    fn check_line(&self) -> Result<(), StepError> {
+        let action = self.action;
+        match (&self.line, action.is_call()) {
+            (None, false) => Ok(()),
+            (None, true) => Err(StepError::Missing { action, needs: "its `line`, such as `status`" }),
+            (Some(_), false) => Err(StepError::Useless { action, key: "line" }),
+            (Some(line), true) => match Call::parse(line) {
+                Ok(_) => Ok(()),
+                Err(why) => Err(StepError::Line { line: line.clone(), why: why.to_string() }),
+            },
+        }
+    }
+
     fn check_sides(&self, places: &Places) -> Result<(), StepError> {
         let action = self.action;
         let named = |key| StepError::Useless { action, key };
