Judge each rig run's history: ban register, no lost yes, one that acts, no revision back

Need: a run's report said what clients got, not whether the promises to operators were kept.

Change: src/rig/checker.rs judges the entries of history.jsonl after each play; its verdicts go into summary.json (`checks`: name, verdict, ok, judged, events, violations) and the exit code follows: 3 violated, 4 undecided. - ban_register: each backend's ban is a linearizable register, at each proxy or, where the scenario has a [group], one for all. The search is stateright's LinearizabilityTester over a register of our own. 200 writes, a plain 400 and a call that reached nobody do not, and no answer or "may still come into force" may have. Looks at the stored bans are the reads. The tester's time grows exponentially with what is under way at once, so the history is cut wherever nothing is and each stretch is searched from and to every state; over 500 operations, 4 unknown outcomes or 10,000 steps in a stretch the check says undecided. The relays note each request's id; with pair_relays the relay tells the proxy, else the id does, as the client knows whom it asked. Only what reached a backend under a ban is kept (`sent`). A yes that an unanswered maint-off may follow is left out and counted. - one_acts: one node in a term, and no act of an older term after a newer one was seen (by the two looks between which a line was written, so only what is certain is called wrong). - revision_forward: by node, over its restarts. A check with nothing to judge says so, and ok is null, as it is for one that is undecided.

--- a/src/bin/gatestage.rs
+++ b/src/bin/gatestage.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
-use haventrack::rig::Scenario;
+use haventrack::rig::{Check, Scenario, Verdict};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -51,14 +51,20 @@
 }
 
 /// Runs a rig scenario; an error names what is wrong, and with a bad scenario nothing has started.
-fn rig(file: &Path, out: &Path, check: bool, seed: Option<u64>, again: Option<&Path>) -> Result<(), String> {
+fn rig(
+    file: &Path,
+    out: &Path,
+    check: bool,
+    seed: Option<u64>,
+    again: Option<&Path>,
+) -> Result<ExitCode, String> {
     let mut scenario = Scenario::from_file(file).map_err(|e| format!("{}: {e}", file.display()))?;
     scenario.seed = seed.unwrap_or(scenario.seed);
     again.map_or(Ok(()), |path| scenario.play_again(path)).map_err(|e| e.to_string())?;
     if check {
         let printed = serde_json::to_string_pretty(&scenario.played()).map_err(|e| e.to_string())?;
         println!("{printed}");
-        return Ok(());
+        return Ok(ExitCode::SUCCESS);
     }
     let program = std::env::current_exe().map_err(|e| format!("where is this program: {e}"))?;
     let summary = haventrack::rig::run(&scenario, &program, &out.join(&scenario.name));
@@ -76,7 +82,30 @@
         latency.p99_ms,
         latency.p999_ms
     );
-    Ok(())
+    Ok(judged(&summary.checks))
+}
+
+/// Says what the checker found in a run's history. Exit code 3: something was violated; 4: a check is undecided.
+fn judged(checks: &[Check]) -> ExitCode {
+    let mut code = ExitCode::SUCCESS;
+    for check in checks {
+        match check.verdict {
+            Verdict::Ok => println!("{}: ok, judged {} {}", check.name, check.judged, check.events),
+            Verdict::NothingToJudge => println!("{}: nothing to judge", check.name),
+            Verdict::Violated => {
+                eprintln!("gatestage rig: the history violates {}:", check.name);
+                check.violations.iter().for_each(|violation| eprintln!("  {violation}"));
+            }
+            Verdict::Undecided => eprintln!("gatestage rig: {} is undecided: {}", check.name, check.events),
+        }
+    }
+    if checks.iter().any(|check| check.verdict == Verdict::Undecided) {
+        code = ExitCode::from(4);
+    }
+    if checks.iter().any(|check| check.verdict == Verdict::Violated) {
+        code = ExitCode::from(3);
+    }
+    code
 }
 
 /// Exit code 2 and the error on standard error, or success.
@@ -94,7 +123,8 @@
     match Command::parse().part {
         Part::Proxy => haventrack::proxy::program::main(),
         Part::Rig { scenario, out, check, seed, schedule } => {
-            finish("rig", rig(&scenario, &out, check, seed, schedule.as_deref()))
+            rig(&scenario, &out, check, seed, schedule.as_deref())
+                .unwrap_or_else(|error| finish("rig", Err(error)))
         }
         Part::Registry { config } => {
             finish("registry", haventrack::registry::serve(config).map_err(|e| e.to_string()))
--- a/src/rig/history.rs
+++ b/src/rig/history.rs
@@ -2,7 +2,8 @@
 //! it, and the acts that the processes log themselves, on one monotonic clock.
 //!
 //! One writer holds the entries in memory while the run lasts and writes them, in the order of their times, as
-//! JSON lines to `history.jsonl`. Entries are few: calls, faults, acts.
+//! JSON lines to `history.jsonl`. Entries are few (calls, faults, acts); what reached a backend goes in only while
+//! a ban forbids it, so that the file stays small. The checker ([`super::checker`]) judges nothing but these entries.
 
 use super::error::RigError;
 use super::procs::Process;
@@ -18,7 +19,8 @@
 
 /// The name of the file in the folder of the run.
 pub const FILE: &str = "history.jsonl";
-/// The most entries a run keeps; one that would have more ends with [`What::Truncated`].
+/// The most entries a run keeps; one that would have more ends with [`What::Truncated`], which no check takes for
+/// a whole history.
 pub const MOST_ENTRIES: usize = 1_000_000;
 /// The longest line of a process's log that is read as an act, in bytes.
 const LINE_CAP: usize = 64 * 1024;
@@ -100,6 +102,20 @@
         /// The object.
         line: Value,
     },
+    /// A request reached the relay before a backend that a ban forbids to the proxy that sent it.
+    Sent {
+        /// The backend.
+        backend: String,
+        /// The proxy, where it is known.
+        node: Option<String>,
+        /// The request's `X-Correlation-Id`.
+        id: String,
+    },
+    /// What reached all backends in the run, probes aside.
+    Reached {
+        /// How many requests.
+        requests: u64,
+    },
     /// The load and its calls were over; the rig ends the processes.
     Over,
     /// The run had more entries than are kept: the rest is missing.
@@ -344,3 +360,32 @@
 pub fn log_length(path: &Path) -> u64 {
     fs::metadata(path).map_or(0, |file| file.len())
 }
+
+/// What came in at a relay.
+#[derive(Clone, Debug)]
+pub struct Arrived {
+    /// When.
+    pub at: Instant,
+    /// The `X-Correlation-Id` of the request whose head it begins with; `None` where it is no such head.
+    pub id: Option<Box<str>>,
+}
+
+impl Arrived {
+    /// A chunk that comes in now.
+    #[must_use]
+    pub fn of(chunk: &[u8]) -> Self {
+        Self { at: Instant::now(), id: correlation_id(chunk).map(Into::into) }
+    }
+}
+
+/// The request's id in a head.
+fn correlation_id(chunk: &[u8]) -> Option<&str> {
+    let lines = chunk.split(|&b| b == b'\n').map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    // The head ends with an empty line; what is in a body is no field.
+    let mut fields = lines.skip(1).take_while(|line| !line.is_empty());
+    fields.find_map(|line| {
+        let colon = line.iter().position(|&b| b == b':')?;
+        let named = line[..colon].eq_ignore_ascii_case(b"x-correlation-id");
+        named.then(|| std::str::from_utf8(&line[colon + 1..]).ok().map(str::trim)).flatten()
+    })
+}
--- a/src/rig/mod.rs
+++ b/src/rig/mod.rs
@@ -1,6 +1,6 @@
 //! The cluster rig: several processes of `gatestage proxy` and one of `gatestage registry` on loopback, stand-in
 //! backends, a fault relay on every pair that talks, open-loop clients, and a timeline of faults and operators'
-//! calls; one report per run, and a history.
+//! calls; one report per run, and a history that a checker judges.
 //!
 //! Its one face is [`run`]: a checked [`Scenario`] in, a [`Summary`] out, with `summary.json`, `plot.svg`,
 //! `history.jsonl`, the proxies' logs and configurations left in the folder of the run. Every run is bounded by the
@@ -8,6 +8,7 @@
 
 mod backends;
 mod calls;
+pub mod checker;
 mod disk;
 mod error;
 mod group;
@@ -23,6 +24,7 @@
 mod step;
 mod view;
 
+pub use checker::{Check, Verdict};
 pub use error::{RigError, SectionError};
 pub use group::GroupSpec;
 pub use load::{Outcome, Record};
@@ -40,7 +42,7 @@
 use procs::{Process, Proxy, Reserved, Told};
 use report::Happened;
 use rustix::process::Signal;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
@@ -271,8 +273,10 @@
     let shunned = shunned(&cluster, &happened, started, end);
     let faults = happened.into_iter().map(|done| Happened { at_s: done.at, what: done.what }).collect();
     let pairs = pairs(&cluster.links, started, end);
-    let summary = report::summarise(scenario.played(), &records, faults, shunned, pairs);
+    let mut summary = report::summarise(scenario.played(), &records, faults, shunned, pairs);
+    cluster.note_sent(&records);
     history.write(out)?;
+    summary.checks = checker::check(&history.entries());
     write_records(&records, out)?;
     Ok(summary)
 }
@@ -352,6 +356,29 @@
         proxies.iter_mut().filter_map(|proxy| proxy.running().then(|| proxy.name.clone())).collect()
     }
 
+    /// Notes what reached each backend while a ban forbade it to the proxy that sent it: the one whose relay it
+    /// came through, or where they share one the proxy that the client had asked.
+    fn note_sent(&self, records: &[Record]) {
+        let arrived = self.links.all().iter().filter(|link| matches!(link.to, End::Backend(_)));
+        let arrived: Vec<_> = arrived.map(|link| (link, link.relay.arrived())).collect();
+        let requests = arrived.iter().map(|(_, arrived)| arrived.len() as u64).sum();
+        self.history.note(What::Reached { requests });
+        let spans = checker::spans(&self.history.entries());
+        let asked: HashMap<&str, usize> = records.iter().map(|r| (r.id.as_str(), r.proxy)).collect();
+        for (link, arrived) in &arrived {
+            let backend = link.to.to_string();
+            let spans: Vec<_> = spans.iter().filter(|span| span.backend == backend).collect();
+            for arrived in arrived.iter().filter(|_| !spans.is_empty()) {
+                let (at, Some(id)) = (self.history.us(arrived.at), &arrived.id) else { continue };
+                let node = link.from.or_else(|| asked.get(&**id).copied()).map(|n| End::Proxy(n).to_string());
+                if spans.iter().any(|span| span.forbids(node.as_deref(), at)) {
+                    let (backend, id) = (backend.clone(), id.to_string());
+                    self.history.note_at(at, What::Sent { backend, node, id });
+                }
+            }
+        }
+    }
+
     /// Kills these processes at once; then either their folders are emptied, or what their logs had not synced is
     /// cut off.
     fn lose(&self, action: Action, ends: &BTreeSet<End>) {
--- a/src/rig/relay.rs
+++ b/src/rig/relay.rs
@@ -5,6 +5,7 @@
 //! made while either way is held therefore comes up for its dialler but never reaches the target, as with a lost
 //! handshake: nothing of it passes, and one that the dialler has given up meanwhile is forgotten at the heal.
 
+use super::history::Arrived;
 use rustix::io::Errno;
 use rustix::net::{RecvFlags, recv};
 use std::net::SocketAddr;
@@ -75,7 +76,7 @@
 #[derive(Default)]
 struct Shared {
     /// When each request, other than a probe, came in (each chunk from the dialling side).
-    arrivals: Mutex<Vec<Instant>>,
+    arrivals: Mutex<Vec<Arrived>>,
     /// When each way, forward and backward, has passed all that was booked on it while throttled.
     booked: [Mutex<Option<Instant>>; 2],
 }
@@ -88,7 +89,7 @@
     /// Notes a chunk from the dialling side, unless it begins a probe (`GET /alive`, `GET /metrics/load`).
     fn note(&self, chunk: &[u8]) {
         if !(chunk.starts_with(b"GET /alive") || chunk.starts_with(b"GET /metrics/load")) {
-            lock(&self.arrivals).push(Instant::now());
+            lock(&self.arrivals).push(Arrived::of(chunk));
         }
     }
 
@@ -149,7 +150,15 @@
     /// Seconds from `since` to each request that came in after it.
     pub fn arrivals(&self, since: Instant) -> Vec<f64> {
         let all = lock(&self.shared.arrivals);
-        all.iter().filter_map(|t| t.checked_duration_since(since)).map(|d| d.as_secs_f64()).collect()
+        all.iter()
+            .filter_map(|arrived| arrived.at.checked_duration_since(since))
+            .map(|d| d.as_secs_f64())
+            .collect()
+    }
+
+    /// Each request that came in, with its id.
+    pub fn arrived(&self) -> Vec<Arrived> {
+        lock(&self.shared.arrivals).clone()
     }
 
     /// Changes what the relay does; whatever the change leaves alone stays as it is.
--- a/src/rig/report.rs
+++ b/src/rig/report.rs
@@ -1,6 +1,7 @@
 //! The report of a run: shares per second and per class, a latency histogram (`hdrhistogram`), a plot
 //! (`plotters`, SVG) and a JSON summary that tests read.
 
+use super::checker::Check;
 use super::error::RigError;
 use super::load::{Outcome, Record};
 use super::scenario::Played;
@@ -137,6 +138,8 @@
     /// What came to the relay of each pair of a proxy and a backend; left out where proxies share the relays.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub pairs: Vec<Pair>,
+    /// What the checker found in the run's history.
+    pub checks: Vec<Check>,
 }
 
 /// Counts moments, in seconds from the first, by the whole second they lie in; those past the last are left out.
@@ -186,6 +189,7 @@
         faults,
         shunned,
         pairs,
+        checks: Vec::new(),
     }
 }
 
