Play operators' calls at a group of three on the rig while voters fail, and judge them

Need: the checks of one register for a whole group were shown on made histories alone.

A test plays it with 24 calls and wants each node's applied bans in the history.

--- a/tests/rig_history.rs
+++ b/tests/rig_history.rs
@@ -230,7 +230,11 @@
 }
 
 fn shipped() -> String {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios/ban-calls.toml");
+    scenario("ban-calls.toml")
+}
+
+fn scenario(file: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios").join(file);
     fs::read_to_string(path).expect("a shipped scenario")
 }
 
@@ -304,6 +308,24 @@
     assert!(lost[0].contains("backend-4 got request") && lost[0].contains("from proxy-0"), "{lost:?}");
 }
 
+#[test]
+fn the_bans_of_a_group_are_one_register_while_its_voters_fail() {
+    let scenario = scenario("group-calls.toml").replace("\"group-calls\"", "\"ban-calls\"");
+    let (status, said, run) = play("group", &scenario.replace("most = 40", "most = 24"), |_, _| {});
+    assert!(status.success(), "{said}");
+    let reported = reported(&run);
+    for name in [checker::BAN_REGISTER, checker::NO_YES_LOST] {
+        assert_eq!(verdict(&reported, name), Verdict::Ok, "{reported:?}");
+    }
+    let history = fs::read_to_string(run.join("history.jsonl")).expect("a history");
+    for node in ["proxy-0", "proxy-1", "proxy-2"] {
+        let applied = parse(&history).expect("entries").into_iter().any(|entry| {
+            matches!(entry.what, What::Act { node: by, line, .. } if by == node && line["event"] == "ban_applied")
+        });
+        assert!(applied, "{node} says which bans it has applied");
+    }
+}
+
 #[test]
 fn bad_calls_are_refused_with_their_line_and_nothing_starts() {
     let bad = [
