--- a/src/rig/procs.rs
+++ b/src/rig/procs.rs
@@ -225,8 +225,9 @@
 
     /// Ends the process for good and reaps it; what it had is not waited for.
     pub fn end(&mut self) {
+        // One that has ended already may have left its number to a process that is none of ours.
+        self.signal(Signal::CONT);
         if let Some(mut child) = self.child.take() {
-            let _ = kill_process(Pid::from_child(&child), Signal::CONT);
             let _ = child.kill();
             let _ = child.wait();
         }
