Let an election end: count waits from when another stands, longer after a tie

The two survivors' states, polled, show the causes: - a voter's own time ran out while it was writing its vote for the other; it stood right after and deposed the new leader. The wait now begins when the request comes, and again with the vote; - a voter with the shorter log went on standing, and since the consensus does not adopt the term of a candidate that it refuses, both kept taking the same terms. Who hears of a longer log now waits two leases more; - waits differed by 150 ms where a vote, which is on two disks before it is given, took up to 100. Lease and spread are 250 ms each now, twice the spread after a tie.

--- a/src/group/config.rs
+++ b/src/group/config.rs
@@ -33,8 +33,8 @@
     /// The other machines.
     #[serde(default, rename = "peer")]
     pub peers: Vec<PeerConfig>,
-    /// How much voters' waits for a leader differ at random, milliseconds (default 150). After a leader's last word
-    /// nobody is elected for 1.75 times as long, its lease.
+    /// A leader's lease, milliseconds (default 250): after its last word nobody is elected for this long, and then
+    /// one voter waits up to as long more than another.
     #[serde(default = "election_ms")]
     pub election_ms: Spanned<u64>,
     /// How often a leader is heard, and how long it waits for a peer's answer, milliseconds (default 50).
@@ -53,7 +53,7 @@
 }
 
 fn election_ms() -> Spanned<u64> {
-    Spanned::new(0..0, 150)
+    Spanned::new(0..0, 250)
 }
 
 fn heartbeat_ms() -> Spanned<u64> {
@@ -112,8 +112,9 @@
                 return fail(value.span(), why);
             }
         }
-        if 2 * self.heartbeat_ms.get_ref() > *self.election_ms.get_ref() {
-            let why = "`heartbeat_ms` may be half of `election_ms` at most: a leader must be heard in time";
+        if 3 * self.heartbeat_ms.get_ref() > *self.election_ms.get_ref() {
+            let why =
+                "`heartbeat_ms` may be a third of `election_ms` at most: a leader must be heard in time";
             return fail(self.heartbeat_ms.span(), why.to_owned());
         }
         Ok(())
--- a/src/group/disk.rs
+++ b/src/group/disk.rs
@@ -264,6 +264,12 @@
         self.held().entries.values().find(is_it).map(|entry| entry.log_id)
     }
 
+    /// The last entry that the log has or had.
+    pub(super) fn last(&self) -> Option<LogId> {
+        let held = self.held();
+        held.entries.last_key_value().map(|(_, entry)| entry.log_id).or(held.purged)
+    }
+
     /// Whether this machine has taken part in the group before: it has entries or a snapshot.
     pub(super) fn is_fresh(&self) -> bool {
         let held = self.held();
@@ -298,9 +304,8 @@
     type LogReader = Self;
 
     async fn get_log_state(&mut self) -> Result<LogState<Types>, StorageError> {
-        let held = self.held();
-        let last = held.entries.last_key_value().map(|(_, entry)| entry.log_id);
-        Ok(LogState { last_purged_log_id: held.purged, last_log_id: last.or(held.purged) })
+        let last_log_id = self.last();
+        Ok(LogState { last_purged_log_id: self.held().purged, last_log_id })
     }
 
     async fn get_log_reader(&mut self) -> Self {
--- a/src/group/election.rs
+++ b/src/group/election.rs
@@ -7,48 +7,73 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until};
 
+/// The most that waits grow with the elections that brought no leader.
+const MOST_TRIES: u32 = 2;
+
 /// How long this machine still waits for a leader's word.
 pub(super) struct Patience {
-    /// The time that one wait differs from another by.
-    spread: Duration,
-    /// After a leader's word nobody is elected for this long.
+    /// After a leader's word nobody is elected for this long; one wait differs from another by up to as much. A vote
+    /// is on two disks before it is given, so that waits which differ by less often end in a tie.
     lease: Duration,
-    until: Mutex<Instant>,
+    held: Mutex<Held>,
+}
+
+struct Held {
+    until: Instant,
+    /// How often this machine has stood since a leader was heard.
+    tries: u32,
 }
 
 impl Patience {
-    pub(super) fn new(spread: Duration, lease: Duration) -> Self {
-        let patience = Self { spread, lease, until: Mutex::new(Instant::now()) };
+    pub(super) fn new(lease: Duration) -> Self {
+        let patience = Self { lease, held: Mutex::new(Held { until: Instant::now(), tries: 0 }) };
         patience.heard();
         patience
     }
 
-    fn until(&self) -> MutexGuard<'_, Instant> {
-        self.until.lock().unwrap_or_else(PoisonError::into_inner)
+    fn held(&self) -> MutexGuard<'_, Held> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// A wait of its own, so that machines which wait for the same seldom stand at once.
     fn draw(&self) -> Duration {
-        self.spread.mul_f64(fastrand::f64())
+        self.lease.mul_f64(fastrand::f64())
     }
 
     /// A leader was heard: its lease begins anew.
     pub(super) fn heard(&self) {
-        *self.until() = Instant::now() + self.lease + self.draw();
+        *self.held() = Held { until: Instant::now() + self.lease + self.draw(), tries: 0 };
+    }
+
+    /// Somebody stands whose log is as long as this machine's: he gets the time to be elected and heard. This counts
+    /// from when he is heard of, and again from when he has the vote: to stand in between is to depose him at once.
+    pub(super) fn let_stand(&self) {
+        let until = Instant::now() + self.lease + self.draw();
+        let mut held = self.held();
+        held.until = until.max(held.until);
+    }
+
+    /// Somebody who was asked for his vote has a longer log: he, not this machine, can be elected, and to stand again
+    /// soon would only take the terms that he stands for.
+    pub(super) fn outdone(&self) {
+        let until = Instant::now() + self.lease * 2 + self.draw();
+        let mut held = self.held();
+        held.until = until.max(held.until);
     }
 
-    /// Somebody stands, or this machine did: it gets the time to be elected and heard.
-    pub(super) fn wait(&self) {
-        let until = Instant::now() + self.spread / 2 + self.draw();
-        let mut held = self.until();
-        *held = until.max(*held);
+    /// This machine stands. The next time is further off, and further from the others', each time that this brings
+    /// no leader.
+    fn stood(&self) {
+        let mut held = self.held();
+        held.tries = (held.tries + 1).min(MOST_TRIES);
+        held.until = Instant::now() + self.lease + self.draw() * held.tries;
     }
 }
 
 /// Stands for election whenever no leader was heard for long enough, for as long as the process runs.
 pub(super) async fn stand(node: Arc<Node>) {
     loop {
-        let until = *node.patience.until();
+        let until = node.patience.held().until;
         if Instant::now() < until {
             sleep_until(until).await;
             continue;
@@ -57,10 +82,10 @@
             node.patience.heard();
             continue;
         }
+        node.patience.stood();
         // Where it is no voter the consensus does nothing; where it has stopped, the status says so.
         if node.raft.trigger().elect().await.is_err() {
             return;
         }
-        node.patience.wait();
     }
 }
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -49,8 +49,6 @@
 const CALLS: usize = 64;
 /// How often a process looks whether the one that it replaces has let go of the group's files.
 const LET_GO_EVERY: Duration = Duration::from_millis(100);
-/// The leader's lease, in which nobody is elected, in election times: as a fraction.
-const LEASE: (u32, u32) = (7, 4);
 /// After how many entries a snapshot is taken, and how many entries in it are kept for peers that are a little late.
 const SNAPSHOT_EVERY: u64 = 4_096;
 const KEPT_ENTRIES: u64 = 1_024;
@@ -251,11 +249,12 @@
 }
 
 fn raft_config(config: &GroupConfig) -> Result<Arc<openraft::Config>, GroupError> {
-    let shortest = *config.election_ms.get_ref();
+    let lease = *config.election_ms.get_ref();
     let raft = openraft::Config {
         cluster_name: config.name.get_ref().clone(),
-        election_timeout_min: shortest,
-        election_timeout_max: shortest * u64::from(LEASE.0) / u64::from(LEASE.1),
+        // The longest is the leader's lease; the shortest only what a vote is waited for: see `election`.
+        election_timeout_min: lease - 1,
+        election_timeout_max: lease,
         enable_elect: false,
         heartbeat_interval: *config.heartbeat_ms.get_ref(),
         install_snapshot_timeout: 10_000,
@@ -288,15 +287,14 @@
     let state = Shared::new(state);
     let applier =
         Applier { node: node.clone(), state: state.clone(), teller: Arc::clone(&teller), disk: disk.clone() };
-    let network = Network(Arc::clone(&peers));
+    let patience = Arc::new(Patience::new(Duration::from_millis(*config.election_ms.get_ref())));
+    let network = Network(Arc::clone(&peers), Arc::clone(&patience));
     let raft = types::Raft::new(identity, raft_config(&config)?, network, disk.clone(), applier).await;
     let raft = raft.map_err(|error| GroupError::Consensus(error.to_string()))?;
     say(&json!({"event": "group_starts", "node": node, "identity": peers::hex(identity),
                 "group": config.name.get_ref(), "listen": config.listen.to_string(),
                 "fresh": disk.is_fresh()}));
     let (status, news, callers) = (ends.status, Notify::new(), Semaphore::new(server::CALLERS));
-    let spread = Duration::from_millis(*config.election_ms.get_ref());
-    let patience = Patience::new(spread, spread * LEASE.0 / LEASE.1);
     let node = Arc::new(Node { config, raft, disk, peers, state, teller, status, news, callers, patience });
     tokio::spawn(election::stand(Arc::clone(&node)));
     tokio::spawn(Arc::clone(&node).follow());
--- a/src/group/node.rs
+++ b/src/group/node.rs
@@ -62,7 +62,7 @@
     /// Room for its peers' calls.
     pub callers: Semaphore,
     /// How long it waits for a leader before it stands for election.
-    pub patience: Patience,
+    pub patience: Arc<Patience>,
 }
 
 impl Node {
--- a/src/group/peers.rs
+++ b/src/group/peers.rs
@@ -1,6 +1,7 @@
 //! Calls to the group's other machines: HTTP/1.1, each within a time and a number at a time.
 
 use super::config::GroupConfig;
+use super::election::Patience;
 use super::events::say;
 use super::types::{LogId, Raft, Snapshot, Types, Vote};
 use bytes::Bytes;
@@ -342,19 +343,21 @@
 }
 
 /// Makes the consensus its ways to the peers.
-pub(super) struct Network(pub Arc<Peers>);
+pub(super) struct Network(pub Arc<Peers>, pub Arc<Patience>);
 
 impl RaftNetworkFactory<Types> for Network {
     type Network = Way;
 
     async fn new_client(&mut self, target: u64, node: &super::types::Machine) -> Way {
-        Way { peers: Arc::clone(&self.0), name: node.name.clone(), to: target }
+        let (peers, patience) = (Arc::clone(&self.0), Arc::clone(&self.1));
+        Way { peers, patience, name: node.name.clone(), to: target }
     }
 }
 
 /// The consensus' way to one member.
 pub(super) struct Way {
     peers: Arc<Peers>,
+    patience: Arc<Patience>,
     name: String,
     to: u64,
 }
@@ -390,7 +393,11 @@
         option: RPCOption,
     ) -> Result<VoteResponse<u64>, CallError> {
         let asked = self.peers.ask(&self.name, Some(self.to), "/group/vote", &vote, option.hard_ttl());
-        asked.await.map_err(unreachable)
+        let answer: VoteResponse<u64> = asked.await.map_err(unreachable)?;
+        if answer.last_log_id > vote.last_log_id {
+            self.patience.outdone();
+        }
+        Ok(answer)
     }
 
     async fn full_snapshot(
--- a/src/group/server.rs
+++ b/src/group/server.rs
@@ -14,7 +14,7 @@
 use axum::middleware::{Next, from_fn_with_state};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
-use openraft::raft::{AppendEntriesRequest, AppendEntriesResponse};
+use openraft::raft::{AppendEntriesRequest, AppendEntriesResponse, VoteRequest};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::sync::Arc;
@@ -91,7 +91,7 @@
 async fn append(State(node): Shared, body: Bytes) -> Result<Vec<u8>, Refusal> {
     let entries: AppendEntriesRequest<Types> = question(&body)?;
     // The leader's word counts when it comes, not once a slow disk has its entries.
-    if node.raft.metrics().borrow().vote == entries.vote {
+    if entries.vote >= node.raft.metrics().borrow().vote {
         node.patience.heard();
     }
     let done = node.raft.append_entries(entries).await;
@@ -102,9 +102,13 @@
 }
 
 async fn vote(State(node): Shared, body: Bytes) -> Result<Vec<u8>, Refusal> {
-    let done = node.raft.vote(question(&body)?).await;
+    let asked: VoteRequest<u64> = question(&body)?;
+    if asked.last_log_id >= node.disk.last() && asked.vote > node.raft.metrics().borrow().vote {
+        node.patience.let_stand();
+    }
+    let done = node.raft.vote(asked).await;
     if done.as_ref().is_ok_and(|done| done.vote_granted) {
-        node.patience.wait();
+        node.patience.let_stand();
     }
     answer(done)
 }
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -6,6 +6,7 @@
 mod rig;
 
 use haventrack::store::PUBLISH_SYNCED;
+use hdrhistogram::Histogram;
 use rig::{Backend, Discovery, PATIENCE, entry, ok, read_message, request};
 use serde_json::{Value, json};
 use std::io::{BufReader, Read, Write};
@@ -619,3 +620,60 @@
     assert!(machine.call("maint-on b-1").starts_with("200 nothing more goes there\n".trim_end()));
     assert!(machine.events("group_starts").is_empty());
 }
+
+fn shown(name: &str, times: &mut Histogram<u64>, one: impl FnOnce()) {
+    let began = Instant::now();
+    one();
+    times.record(began.elapsed().as_micros() as u64).unwrap_or_else(|_| panic!("{name} took too long"));
+}
+
+fn print(name: &str, times: &Histogram<u64>) {
+    let at = |q| times.value_at_quantile(q) as f64 / 1e3;
+    println!(
+        "{}",
+        json!({"what": name, "count": times.len(), "p50_ms": at(0.5), "p90_ms": at(0.9), "p99_ms": at(0.99),
+               "max_ms": times.max() as f64 / 1e3})
+    );
+}
+
+/// Calls at one machine, on and off in turn, each of which has to be answered with yes the first time.
+fn time_calls(name: &str, machine: &Machine) {
+    let (mut on, mut off) = (Histogram::new(3).expect("3 digits"), Histogram::new(3).expect("3 digits"));
+    for turn in 0..420 {
+        let backend = 1 + turn / 2 % (BACKENDS - 1);
+        let (word, times) = if turn % 2 == 0 { ("on", &mut on) } else { ("off", &mut off) };
+        let mut answer = String::new();
+        shown(name, times, || answer = machine.call(&format!("maint-{word} b-{backend}")));
+        assert!(answer.starts_with("200 "), "{answer}");
+    }
+    print(&format!("{name}, maint-on"), &on);
+    print(&format!("{name}, maint-off"), &off);
+}
+
+/// The figures of the page on groups, one JSON object a line:
+/// `cargo test --release --test group measure -- --ignored --nocapture`; with `TMPDIR` on a file system in memory
+/// the same without the disk's syncs.
+#[test]
+#[ignore = "a measurement, not a check"]
+fn measure_a_yes_and_the_next_after_the_leader_is_killed() {
+    let mut alone = Three::prepare("alone");
+    fs::write(alone.machines[0].home.join("group.toml"), "").expect("an empty configuration");
+    alone.machines[0].start();
+    wait_for("a proxy takes clients", || alone.machines[0].is_up().then_some(()));
+    time_calls("no group", &alone.machines[0]);
+    drop(alone);
+    let mut three = Three::start("measure");
+    let leader = three.leader();
+    time_calls("group of 3, called at the leader", &three.machines[leader]);
+    time_calls("group of 3, called at another", &three.machines[(leader + 1) % 3]);
+    let mut gaps = Histogram::new(3).expect("3 digits");
+    for play in 0..30 {
+        let leader = three.leader();
+        let caller = (leader + 1 + play % 2) % 3;
+        three.machines[leader].kill();
+        shown("the next yes", &mut gaps, || three.machines[caller].yes("maint-on b-1"));
+        three.machines[leader].start();
+        wait_for("it is back", || three.machines[leader].is_up().then_some(()));
+    }
+    print("next yes after kill -9 of the leader", &gaps);
+}
