Copy what a proxy has learnt to two peers, for a start on a lost disk

Need: a machine that lost its disk came back with the group's bans and with nothing of what its module had learnt; it began at the first limits again.

A peer holds the last copy of each configured machine, in memory: the next round makes a lost one again. It logs `copy_restored` or `copy_missing`. Without a group nothing of this is made.

A machine on a fresh disk now makes several calls at once.

--- a/src/group/disk.rs
+++ b/src/group/disk.rs
@@ -101,7 +101,8 @@
     }
 }
 
-fn now_ms() -> u64 {
+/// Milliseconds since the Unix epoch, by this machine's clock.
+pub(super) fn now_ms() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .map_or(0, |t| u64::try_from(t.as_millis()).unwrap_or(u64::MAX))
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -2,7 +2,8 @@
 //! a majority before the yes.
 //!
 //! Its one face is [`start`] with a [`GroupConfig`], and the [`Group`] that it gives: [`Group::propose`] makes a
-//! promise, [`Group::bans`] tells what holds, [`Group::status`] how this machine stands. The group runs on a thread
+//! promise, [`Group::bans`] tells what holds, [`Group::status`] how this machine stands; [`Group::hand`] and
+//! [`Group::copies`] carry what a proxy has learnt to two of its peers and back. The group runs on a thread
 //! and runtime of its own, with a second thread for its disk; nothing here is waited for by a request.
 //!
 //! Consensus is `openraft`'s. Members are known by an identity that is drawn once for a disk: a machine which lost its
@@ -12,6 +13,7 @@
 
 mod bans;
 mod config;
+mod copies;
 mod disk;
 mod election;
 mod events;
@@ -23,12 +25,15 @@
 
 pub use bans::{Bans, MOST_BANS};
 pub use config::{GroupConfig, PeerConfig};
+pub use copies::{COPY_CAP, Copied, CopyError, LOOK_WITHIN, Looked};
 pub use node::Status;
 pub use propose::{Committed, ProposeError};
 pub use types::Promise;
 
 use crate::store::{LogError, WriteError};
 use bans::{Applier, Shared, Teller};
+use bytes::Bytes;
+use copies::Look;
 use disk::Opened;
 use election::Patience;
 use events::say;
@@ -135,6 +140,9 @@
     bans: watch::Receiver<Arc<Bans>>,
     status: watch::Receiver<Status>,
     name: Arc<str>,
+    copy: watch::Sender<Option<Bytes>>,
+    looks: mpsc::Sender<Look>,
+    keepers: Arc<[String]>,
 }
 
 impl Group {
@@ -158,6 +166,28 @@
         answered.await.unwrap_or_else(|_| Err(ended()))
     }
 
+    /// Gives what was learnt to be copied to two peers, in place of what still waits to be; nothing is waited for.
+    ///
+    /// # Errors
+    /// [`CopyError::TooLarge`] over [`COPY_CAP`] bytes; the copy before stays.
+    pub fn hand(&self, copy: &Copied) -> Result<(), CopyError> {
+        self.copy.send_replace(Some(copies::wrap(copy)?));
+        Ok(())
+    }
+
+    /// The copies of this machine that its keepers hold and that are of this version, within [`LOOK_WITHIN`].
+    pub async fn copies(&self, version: u16) -> Looked {
+        let until = Instant::now() + LOOK_WITHIN;
+        let (answer, answered) = oneshot::channel();
+        // One look at a time waits; where the group's thread has ended, `answer` ends with it.
+        let _ = self.looks.try_send(Look { version, until, answer });
+        let late = || self.keepers.iter().map(|keeper| (keeper.clone(), CopyError::NotInTime)).collect();
+        match timeout_at(until, answered).await {
+            Ok(Ok(looked)) => looked,
+            _ => Looked { copies: Vec::new(), passed_over: late() },
+        }
+    }
+
     /// The bans that hold, as they change.
     #[must_use]
     pub fn bans(&self) -> watch::Receiver<Arc<Bans>> {
@@ -180,6 +210,8 @@
     asked: mpsc::Receiver<Asked>,
     bans: watch::Sender<Arc<Bans>>,
     status: watch::Sender<Status>,
+    copy: watch::Receiver<Option<Bytes>>,
+    looks: mpsc::Receiver<Look>,
 }
 
 /// Starts this machine's part of its group. Where another process of the same proxy still has the folder, it is
@@ -191,6 +223,9 @@
     let (asked, calls) = mpsc::channel(CALLS);
     let (bans, told) = watch::channel(Arc::default());
     let (status, stands) = watch::channel(Status { state: "waiting".to_owned(), ..Status::default() });
+    let (copy, copied) = watch::channel(None);
+    let (looks, looked) = mpsc::channel(1);
+    let keepers = config.keepers().into();
     let ready = match open(&config) {
         Err(GroupError::Log(LogError::InUse { .. })) => None,
         opened => Some(opened?),
@@ -198,7 +233,7 @@
     let name = config.node.get_ref().as_str().into();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(GroupError::Thread)?;
-    let ends = Ends { asked: calls, bans, status };
+    let ends = Ends { asked: calls, bans, status, copy: copied, looks: looked };
     let run = move || {
         let node = config.node.get_ref().clone();
         if let Err(error) = runtime.block_on(run(config, ready, ends)) {
@@ -206,7 +241,7 @@
         }
     };
     thread::Builder::new().name("group".to_owned()).spawn(run).map_err(GroupError::Thread)?;
-    Ok(Group { asked, bans: told, status: stands, name })
+    Ok(Group { asked, bans: told, status: stands, name, copy, looks, keepers })
 }
 
 /// The folder and the listener, which only one process has at a time.
@@ -295,12 +330,18 @@
                 "group": config.name.get_ref(), "listen": config.listen.to_string(),
                 "fresh": disk.is_fresh()}));
     let (status, news, callers) = (ends.status, Notify::new(), Semaphore::new(server::CALLERS));
-    let node = Arc::new(Node { config, raft, disk, peers, state, teller, status, news, callers, patience });
+    let kept = copies::Kept::default();
+    let node = Node { config, raft, disk, peers, state, teller, status, news, callers, patience, kept };
+    let node = Arc::new(node);
     tokio::spawn(election::stand(Arc::clone(&node)));
     tokio::spawn(Arc::clone(&node).follow());
     tokio::spawn(Arc::clone(&node).learn());
     tokio::spawn(Arc::clone(&node).tend());
     let answering = tokio::spawn(axum::serve(listener, server::router(Arc::clone(&node))).into_future());
+    for keeper in node.config.keepers() {
+        tokio::spawn(copies::send(Arc::clone(&node), keeper, ends.copy.clone()));
+    }
+    tokio::spawn(copies::answer(Arc::clone(&node), ends.looks));
     while let Some(Asked { promise, within, answer }) = ends.asked.recv().await {
         let node = Arc::clone(&node);
         tokio::spawn(async move {
--- a/src/group/node.rs
+++ b/src/group/node.rs
@@ -2,6 +2,7 @@
 
 use super::bans::{Bans, Confirmed, Shared, Teller};
 use super::config::GroupConfig;
+use super::copies::Kept;
 use super::disk::Disk;
 use super::election::Patience;
 use super::events::say;
@@ -63,6 +64,8 @@
     pub callers: Semaphore,
     /// How long it waits for a leader before it stands for election.
     pub patience: Arc<Patience>,
+    /// What its peers have learnt, as they last told it.
+    pub kept: Kept,
 }
 
 impl Node {
@@ -195,7 +198,7 @@
         let bans: Bans = (**self.teller.watch().borrow()).clone();
         json!({"group": mine.group, "node": mine.node, "identity": hex(mine.identity), "format": FORMAT,
                "status": *self.status.borrow(), "bans": bans.banned, "bans_index": bans.index,
-               "bans_known": bans.known})
+               "bans_known": bans.known, "keepers": self.config.keepers(), "copies": self.kept.report()})
     }
 
     /// Asks these machines who they are, all at once.
--- a/src/group/peers.rs
+++ b/src/group/peers.rs
@@ -98,6 +98,11 @@
         )
     }
 
+    /// Whether the same call may be taken a moment later: the machine is finding out who calls, or is busy.
+    pub(super) fn may_pass(&self) -> bool {
+        matches!(self, Self::TwoNodes { .. } | Self::Unverified { .. } | Self::Busy)
+    }
+
     pub(super) fn status(&self) -> StatusCode {
         match self {
             Self::OtherGroup { .. } | Self::TwoNodes { .. } | Self::NotMe { .. } => StatusCode::CONFLICT,
@@ -151,11 +156,27 @@
     format!("{identity:016x}")
 }
 
+/// What a peer's address says of its identity.
+#[derive(Clone, Copy, Default)]
+struct Seen {
+    /// The one that last answered there.
+    identity: Option<u64>,
+    /// When it was last asked.
+    asked: Option<Instant>,
+    /// Whether that was answered: not while the answer is on its way.
+    answered: bool,
+}
+
+impl Seen {
+    fn is(&mut self, identity: u64) {
+        *self = Self { identity: Some(identity), asked: Some(Instant::now()), answered: true };
+    }
+}
+
 struct Peer {
     address: SocketAddr,
     slots: Semaphore,
-    /// Which identity last answered at its address, and when it was asked.
-    seen: Mutex<(Option<u64>, Option<Instant>)>,
+    seen: Mutex<Seen>,
 }
 
 /// The other machines.
@@ -271,14 +292,14 @@
     pub(super) async fn hello(&self, name: &str, within: Duration) -> Result<Hello, PeerError> {
         let hello: Hello = self.ask(name, None, "/group/hello", &(), within).await?;
         if let Some(peer) = self.book.get(name) {
-            *peer.seen() = (Some(hello.identity), Some(Instant::now()));
+            peer.seen().is(hello.identity);
         }
         Ok(hello)
     }
 
     /// The identity that last answered at a peer's address.
     pub(super) fn seen(&self, name: &str) -> Option<u64> {
-        self.book.get(name)?.seen().0
+        self.book.get(name)?.seen().identity
     }
 
     /// Whether a call that names itself as a peer's is that peer's: what its address says decides. `member`: the
@@ -291,19 +312,23 @@
         }
         let unknown = || Refusal::UnknownNode { node: name.to_owned() };
         let peer = self.book.get(name).ok_or_else(unknown)?;
-        let (seen, asked) = *peer.seen();
+        let Seen { identity: seen, asked, .. } = *peer.seen();
         if seen == Some(caller) {
             return Ok(false);
         }
         // Somebody who only says so may not make this machine ask all the time.
         if asked.is_none_or(|asked| asked.elapsed() > FRESH_FOR) {
-            peer.seen().1 = Some(Instant::now());
-            let _ = self.hello_unnamed(peer).await.map(|identity| peer.seen().0 = Some(identity));
+            *peer.seen() = Seen { identity: seen, asked: Some(Instant::now()), answered: false };
+            if let Ok(identity) = self.hello_unnamed(peer).await {
+                peer.seen().is(identity);
+            }
         }
-        let now = peer.seen().0;
+        let Seen { identity: now, answered, .. } = *peer.seen();
         match now {
             Some(now) if now == caller => Ok(true),
-            Some(now) if Some(now) != seen || !member => Err(Refusal::TwoNodes {
+            // A machine on a fresh disk makes several calls at once: while its address is asked nobody says that
+            // there are two.
+            Some(now) if Some(now) != seen || (!member && answered) => Err(Refusal::TwoNodes {
                 node: name.to_owned(),
                 address: peer.address,
                 known: hex(now),
@@ -328,10 +353,10 @@
 
 impl Peer {
     fn at(address: SocketAddr) -> Self {
-        Self { address, slots: Semaphore::new(SLOTS), seen: Mutex::new((None, None)) }
+        Self { address, slots: Semaphore::new(SLOTS), seen: Mutex::default() }
     }
 
-    fn seen(&self) -> MutexGuard<'_, (Option<u64>, Option<Instant>)> {
+    fn seen(&self) -> MutexGuard<'_, Seen> {
         self.seen.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/group/server.rs
+++ b/src/group/server.rs
@@ -1,5 +1,6 @@
 //! The calls that a machine answers to its peers and to operators.
 
+use super::copies::{COPY_CAP, Copied};
 use super::node::Node;
 use super::peers::{
     BODY_CAP, FORMAT, FORMAT_HEADER, GROUP_HEADER, Hello, IDENTITY_HEADER, NODE_HEADER, Refusal,
@@ -44,6 +45,8 @@
         .route("/group/propose", post(propose))
         .route("/group/read", post(read))
         .route("/group/hello", post(hello))
+        .route("/group/keep", post(keep).layer(DefaultBodyLimit::max(COPY_CAP)))
+        .route("/group/kept", post(kept))
         .layer(DefaultBodyLimit::max(BODY_CAP))
         .route_layer(from_fn_with_state(Arc::clone(&node), admitted))
         .route("/group/identity", get(identity))
@@ -58,9 +61,13 @@
     timeout(CALL_WITHIN, next.run(request)).await.map_err(|_| Refusal::Busy)
 }
 
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+}
+
 /// Lets only calls in that are a member's or a configured peer's, and meant for this machine.
 async fn admit(node: &Node, headers: &HeaderMap) -> Result<(), Refusal> {
-    let text = |name| headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let text = |name| text(headers, name);
     let (format, group, caller) = (text(FORMAT_HEADER), text(GROUP_HEADER), text(NODE_HEADER));
     let mine = &node.peers.mine;
     if format != FORMAT.to_string() {
@@ -136,6 +143,18 @@
     answer::<_, Refusal>(Ok(hello))
 }
 
+/// Keeps the caller's copy of what it has learnt.
+async fn keep(State(node): Shared, headers: HeaderMap, body: Bytes) -> Result<Vec<u8>, Refusal> {
+    let copy: Copied = question(&body)?;
+    node.kept.keep(text(&headers, NODE_HEADER), copy);
+    answer::<_, Refusal>(Ok(()))
+}
+
+/// Gives the caller the copy that it made itself, if there is one.
+async fn kept(State(node): Shared, headers: HeaderMap) -> Result<Vec<u8>, Refusal> {
+    answer::<_, Refusal>(Ok(node.kept.of(text(&headers, NODE_HEADER))))
+}
+
 async fn identity(State(node): Shared) -> String {
     hex(node.peers.mine.identity)
 }
--- a/src/proxy/handover.rs
+++ b/src/proxy/handover.rs
@@ -15,6 +15,7 @@
 use super::driver::{Handle, Message};
 use super::log;
 use crate::api::Learnt;
+use crate::group::{Copied, CopyError, Group};
 use crate::store::Store;
 use rustc_hash::FxHashMap;
 use rustix::net::{
@@ -22,6 +23,7 @@
     SendFlags, recvmsg, sendmsg, sockopt::socket_acceptconn,
 };
 use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, IoSlice, IoSliceMut, Read};
@@ -32,7 +34,7 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use std::{env, fs, io};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, UnixListener, UnixStream};
@@ -151,7 +153,7 @@
     pub learnt: Learnt,
 }
 
-/// The version of [`Legacy`] as the checked store keeps it; a snapshot of another is passed over.
+/// The version of [`Legacy`] as the checked store and the group's copies keep it; one of another is passed over.
 const LEGACY_VERSION: u16 = 1;
 /// How often what the module has learnt is stored while the proxy serves.
 const KEEP_EVERY: Duration = Duration::from_secs(2);
@@ -159,26 +161,38 @@
 const LEARNT: &str = "learnt";
 
 /// Keeps the [`Legacy`] on disk through the checked store, so that a start after a crash or a power loss goes on
-/// from what was learnt: every 2 s (`KEEP_EVERY`) and once more at SIGTERM.
+/// from what was learnt, and gives it to the group, whose copies outlive the disk: every 2 s (`KEEP_EVERY`) and once
+/// more at SIGTERM.
 pub struct Keeper {
-    store: Arc<Store>,
+    store: Option<Arc<Store>>,
+    group: Option<Group>,
     handle: Handle,
     numbers: Rc<RefCell<Numbers>>,
     /// Whether the last write failed, so that a failure that lasts is logged once and its end once.
     failing: Cell<bool>,
+    /// The same for copies.
+    uncopied: Cell<bool>,
     /// One write at a time: that of SIGTERM may come while the last one is still under way.
     writing: Mutex<()>,
 }
 
 impl Keeper {
-    /// Keeps into `store` (see [`state_store`]) what the driver behind `handle` learns.
+    /// Keeps into `store` (see [`state_store`]), and with the peers in `group`, what the driver behind `handle`
+    /// learns; either may be missing.
     #[must_use]
-    pub fn new(store: Store, handle: Handle, numbers: Rc<RefCell<Numbers>>) -> Rc<Self> {
+    pub fn new(
+        store: Option<Store>,
+        group: Option<Group>,
+        handle: Handle,
+        numbers: Rc<RefCell<Numbers>>,
+    ) -> Rc<Self> {
         Rc::new(Self {
-            store: Arc::new(store),
+            store: store.map(Arc::new),
+            group,
             handle,
             numbers,
             failing: Cell::new(false),
+            uncopied: Cell::new(false),
             writing: Mutex::new(()),
         })
     }
@@ -190,7 +204,8 @@
         // A driver that has ended leaves nothing worth storing over what is stored.
         let Some(learnt) = learnt_now(&self.handle).await else { return };
         let legacy = Legacy { names: named(&self.numbers), learnt };
-        let store = Arc::clone(&self.store);
+        self.copy(&legacy);
+        let Some(store) = self.store.clone() else { return };
         let write = tokio::task::spawn_blocking(move || store.write(&legacy, wall_ms()));
         // A runtime that is shutting down stores nothing more.
         let Ok(written) = write.await else { return };
@@ -202,6 +217,21 @@
         }
     }
 
+    /// Gives what is learnt to the group, which sends it by itself.
+    fn copy(&self, legacy: &Legacy) {
+        let Some(group) = &self.group else { return };
+        let state = postcard::to_stdvec(legacy).map_err(|error| CopyError::Garbled(error.to_string()));
+        let handed = state
+            .and_then(|state| group.hand(&Copied { version: LEGACY_VERSION, written_ms: wall_ms(), state }));
+        if let Err(error) = &handed
+            && !self.uncopied.get()
+        {
+            let event = json!({"event": "copy_not_made", "node": group.name(), "why": error.to_string()});
+            log(format_args!("{event}"));
+        }
+        self.uncopied.set(handed.is_err());
+    }
+
     /// Stores what is learnt every 2 s (`KEEP_EVERY`), for as long as the proxy runs.
     pub async fn keep(self: Rc<Self>) {
         let mut every = interval(KEEP_EVERY);
@@ -223,15 +253,16 @@
 }
 
 /// The newest whole snapshot in `store` and its age in microseconds, with a log line that says which was taken
-/// and why any newer one was not; `None` is a cold start.
+/// and why any newer one was not; `None` is a cold start, or where `copied` that of a copy that the group may hold.
 #[must_use]
-pub fn restore(store: &Store) -> Option<(Legacy, u64)> {
+pub fn restore(store: &Store, copied: bool) -> Option<(Legacy, u64)> {
     let restored = store.read::<Legacy>();
     for (path, why) in &restored.rejected {
         log(format_args!("state: passed over {}: {why}", path.display()));
     }
     let Some(snapshot) = restored.snapshot else {
-        log(format_args!("state: cold start, no whole snapshot in {}", store.folder().display()));
+        let unless = if copied { " unless the group holds a copy" } else { "" };
+        log(format_args!("state: cold start{unless}, no whole snapshot in {}", store.folder().display()));
         return None;
     };
     let age_ms = wall_ms().saturating_sub(snapshot.written_ms);
@@ -240,6 +271,39 @@
     Some((snapshot.value, age_ms * 1_000))
 }
 
+/// The newest copy of this proxy that its group holds, and its age in microseconds, with a log line that says which
+/// was taken, or why there is none: then the start is a cold one. At most [`LOOK_WITHIN`](crate::group::LOOK_WITHIN)
+/// is waited for it.
+pub async fn restore_copy(group: &Group) -> Option<(Legacy, u64)> {
+    let asked = Instant::now();
+    let mut looked = group.copies(LEGACY_VERSION).await;
+    let mut taken = None;
+    for (keeper, copy) in std::mem::take(&mut looked.copies) {
+        match postcard::from_bytes::<Legacy>(&copy.state) {
+            Ok(legacy) => {
+                taken = Some((keeper, copy, legacy));
+                break;
+            }
+            Err(error) => looked.passed_over.push((keeper, CopyError::Garbled(error.to_string()))),
+        }
+    }
+    let passed_over: serde_json::Map<String, Value> =
+        looked.passed_over.into_iter().map(|(keeper, why)| (keeper, why.to_string().into())).collect();
+    let waited_ms = u64::try_from(asked.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let Some((keeper, copy, legacy)) = taken else {
+        let event = json!({"event": "copy_missing", "node": group.name(), "waited_ms": waited_ms,
+            "keepers": passed_over, "do": "nothing: the proxy starts cold and learns anew"});
+        log(format_args!("{event}"));
+        return None;
+    };
+    let age_ms = wall_ms().saturating_sub(copy.written_ms);
+    let event = json!({"event": "copy_restored", "node": group.name(), "keeper": keeper, "age_ms": age_ms,
+        "names": legacy.names.len(), "bytes": copy.state.len(), "waited_ms": waited_ms,
+        "passed_over": passed_over});
+    log(format_args!("{event}"));
+    Some((legacy, age_ms.saturating_mul(1_000)))
+}
+
 /// What the module has learnt, asked of the driver; `None` when the driver has ended.
 async fn learnt_now(handle: &Handle) -> Option<Learnt> {
     let (asked, learnt) = oneshot::channel();
--- a/src/proxy/program.rs
+++ b/src/proxy/program.rs
@@ -116,7 +116,13 @@
     let numbers = Rc::new(RefCell::new(Numbers::default()));
     let store = config.state_dir.as_deref().map(handover::state_store).transpose()?;
     // What a predecessor hands over is newer than any snapshot, which is read only where none did.
-    let restored = store.as_ref().filter(|_| predecessor.is_none()).and_then(handover::restore);
+    let restored = store.as_ref().filter(|_| predecessor.is_none());
+    let restored = restored.and_then(|store| handover::restore(store, group.is_some()));
+    // A machine that lost its disk goes on from the copy that its peers hold.
+    let restored = match &group {
+        Some(group) if restored.is_none() && predecessor.is_none() => handover::restore_copy(group).await,
+        _ => restored,
+    };
     let handed = predecessor.as_ref().map(|p| (&p.legacy, 0));
     let legacy = handed.or(restored.as_ref().map(|(legacy, age)| (legacy, *age)));
     if let Some((legacy, age)) = legacy {
@@ -124,7 +130,8 @@
         legacy.names.iter().for_each(|name| _ = numbers.borrow_mut().number(name));
     }
     let (driver, handle) = Driver::new(balancer, clock, Rc::clone(&fleet), limits, subscribe);
-    let keeper = store.map(|store| Keeper::new(store, handle.clone(), Rc::clone(&numbers)));
+    let keeper = (store.is_some() || group.is_some())
+        .then(|| Keeper::new(store, group.clone(), handle.clone(), Rc::clone(&numbers)));
     let held = Rc::new(Cell::new(false));
     let translator = Translator::new(clock, &config.names, Rc::clone(&numbers));
     let subscriptions = asked.then_some(subscriptions);
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -5,6 +5,8 @@
 #[allow(dead_code)]
 mod rig;
 
+use haventrack::group::{COPY_CAP, Copied};
+use haventrack::proxy::handover::Legacy;
 use haventrack::store::PUBLISH_SYNCED;
 use hdrhistogram::Histogram;
 use rig::{Backend, Discovery, PATIENCE, entry, ok, read_message, request};
@@ -14,7 +16,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 use std::{env, fs, thread};
 
 /// Backends that every proxy is told of: the first is asked, the others are banned and given back.
@@ -288,6 +290,10 @@
 /// Sends requests to a proxy, some at a time so that they spread over all backends that may be sent to, from before
 /// it listens until enough were served; none waits for `/up`.
 fn press(machine: &Machine) {
+    press_by(machine, 8);
+}
+
+fn press_by(machine: &Machine, workers: usize) {
     let (admin, address) = (machine.admin, machine.address);
     let some = move |place: usize| {
         let mut served = 0;
@@ -297,7 +303,7 @@
             (served >= 8).then_some(())
         });
     };
-    thread::scope(|scope| (0..8).for_each(|place| _ = scope.spawn(move || some(place))));
+    thread::scope(|scope| (0..workers).for_each(|place| _ = scope.spawn(move || some(place))));
 }
 
 #[test]
@@ -677,3 +683,160 @@
     }
     print("next yes after kill -9 of the leader", &gaps);
 }
+
+/// The limit of a server begins at 1.5; one that is above this was learnt.
+const LEARNT: f64 = 1.6;
+
+impl Three {
+    /// Posts to `to` in the name of machine `me`, of identity `identity`.
+    fn post(&self, to: usize, path: &str, (me, identity): (usize, &str), body: &[u8]) -> rig::Seen {
+        let head = format!(
+            "POST /group/{path} HTTP/1.1\r\nHost: g\r\nConnection: close\r\nX-Gatestage-Format: 1\r\n\
+             X-Gatestage-Group: region-a\r\nX-Gatestage-Node: p-{me}\r\nX-Gatestage-Identity: {identity}\r\n\
+             Content-Length: {}\r\n\r\n",
+            body.len()
+        );
+        http(self.machines[to].listen, [head.as_bytes(), body].concat()).expect("an answer")
+    }
+
+    fn identity(&self, me: usize) -> String {
+        let status = wait_for("a status", || self.machines[me].status());
+        status["identity"].as_str().expect("text").to_owned()
+    }
+
+    /// What a keeper holds of p-0, and the limit of a server that it tells of.
+    fn copy(&self, keeper: usize, identity: &str) -> Option<(Copied, f64)> {
+        let seen = self.post(keeper, "kept", (0, identity), &[]);
+        let copy: Copied = postcard::from_bytes::<Option<Copied>>(&seen.body).ok()??;
+        let legacy: Legacy = postcard::from_bytes(&copy.state).expect("a state");
+        let limit = legacy.learnt.kinds.first().map_or(0.0, |kind| kind.limit);
+        Some((copy, limit))
+    }
+
+    /// Starts p-0, and gives the event that says what came of its copy.
+    fn start_first(&mut self) -> Value {
+        let first = &mut self.machines[0];
+        let events = |m: &Machine| [m.events("copy_restored"), m.events("copy_missing")];
+        let before = events(first).map(|told| told.len());
+        first.start();
+        wait_for("what came of its copy", || {
+            let mut told = events(first).into_iter().zip(before);
+            told.find_map(|(events, before)| events.get(before).cloned())
+        })
+    }
+}
+
+#[test]
+fn a_proxy_that_lost_its_disk_goes_on_from_the_copy_that_its_peers_hold() {
+    let mut three = Three::start("copy");
+    // A busy machine may not get its answer in time and starts cold, as it should; then it learns again.
+    let restored = (0..5).find_map(|_| {
+        let identity = three.identity(0);
+        wait_for("both keepers hold what was learnt", || {
+            press_by(&three.machines[0], 40);
+            [1, 2].iter().all(|&k| three.copy(k, &identity).is_some_and(|c| c.1 > LEARNT)).then_some(())
+        });
+        three.machines[0].lose_disk();
+        let event = three.start_first();
+        (event["event"] == "copy_restored").then_some(event)
+    });
+    let restored = restored.expect("one start of five gets its copy");
+    assert_eq!(restored["names"], BACKENDS, "{restored}");
+    assert!(restored["age_ms"].as_u64().is_some_and(|age| age < 60_000), "{restored}");
+    // Several calls at once from a machine on a fresh disk are not taken for a second machine of its name.
+    assert!(three.machines[0].events("group_refused").is_empty(), "{}", three.machines[0].log());
+    // The identity is a fresh one, and what it makes copies of without having served is what it was given.
+    let now = UNIX_EPOCH.elapsed().expect("a clock").as_millis();
+    let identity = three.identity(0);
+    let next = wait_for("its own next copy", || {
+        three.copy(1, &identity).filter(|(copy, _)| u128::from(copy.written_ms) > now)
+    });
+    assert!(next.1 > LEARNT, "{}", next.1);
+}
+
+#[test]
+fn copies_that_cannot_be_used_are_refused_and_without_keepers_the_start_is_cold_and_soon() {
+    let mut three = Three::start("refused");
+    let of_version = |version: u16, written_ms: u64| {
+        postcard::to_stdvec(&Copied { version, written_ms, state: vec![0; 4] }).expect("a copy")
+    };
+    // As above: a keeper's word may come too late.
+    let refused = (0..5).find(|_| {
+        let identity = three.identity(0);
+        wait_for("its copies are kept", || three.copy(1, &identity).and(three.copy(2, &identity)).map(drop));
+        three.machines[0].kill();
+        let me = (0, identity.as_str());
+        assert_eq!(three.post(1, "keep", me, &vec![0; COPY_CAP + 1]).status(), 413);
+        assert!(three.copy(1, &identity).is_some(), "the copy before stays");
+        assert_eq!(three.post(1, "keep", me, &[1]).status(), 400, "a copy of one byte");
+        assert_eq!(three.post(1, "keep", me, &of_version(99, 1)).status(), 200);
+        assert_eq!(three.post(2, "keep", me, &of_version(1, u64::MAX >> 8)).status(), 200);
+        three.machines[0].lose_disk();
+        let missing = three.start_first();
+        assert_eq!(missing["event"], "copy_missing", "{missing}");
+        let why = |keeper: &str| missing["keepers"][keeper].as_str().unwrap_or_default().to_owned();
+        why("p-1").contains("version 99, this program reads 1") && why("p-2").contains("set the clocks")
+    });
+    refused.expect("one start of five hears both keepers");
+    three.machines.iter_mut().for_each(Machine::kill);
+    three.machines[0].lose_disk();
+    let started = Instant::now();
+    let missing = three.start_first();
+    assert_eq!(missing["event"], "copy_missing", "{missing}");
+    assert!(missing["waited_ms"].as_u64().is_some_and(|ms| ms < 2_000), "{missing}");
+    wait_for("it takes clients", || three.machines[0].is_up().then_some(()));
+    eprintln!("no keepers: {missing}, /up after {:?}", started.elapsed());
+}
+
+#[test]
+fn a_proxy_with_a_snapshot_of_its_own_asks_for_no_copy() {
+    let mut three = Three::prepare("own");
+    let own = three.machines[0].home.join("learnt");
+    let config = three.machines[0].home.join("group.toml");
+    let text = fs::read_to_string(&config).expect("a configuration");
+    fs::write(&config, format!("state_dir = \"{}\"\n{text}", own.display())).expect("a configuration");
+    three = three.run();
+    let first = |three: &Three| {
+        let m = &three.machines[0];
+        (m.events("copy_missing").len(), m.events("copy_restored").len())
+    };
+    assert_eq!(first(&three), (1, 0), "the first start has none");
+    wait_for("a snapshot", || {
+        fs::read_dir(&own).ok()?.flatten().find(|f| f.path().extension() == Some("snap".as_ref()))
+    });
+    three.machines[0].kill();
+    three.machines[0].start();
+    wait_for("it takes clients", || three.machines[0].is_up().then_some(()));
+    assert!(three.machines[0].log().contains("state: restored generation"));
+    assert_eq!(first(&three), (1, 0), "it had its own");
+}
+
+/// The keepers of each of these machines, by its name.
+fn keepers_among(names: &[String]) -> Vec<Vec<String>> {
+    let of = |me: &String| {
+        let mut text = format!(
+            "name = \"g\"\nnode = \"{me}\"\nlisten = \"127.0.0.1:1\"\nstate_dir = \"s\"\nvoters = []\n"
+        );
+        for peer in names.iter().filter(|peer| *peer != me) {
+            text += &format!("[[peer]]\nname = \"{peer}\"\naddress = \"127.0.0.1:1\"\n");
+        }
+        toml::from_str::<haventrack::group::GroupConfig>(&text).expect("a configuration").keepers()
+    };
+    names.iter().map(of).collect()
+}
+
+#[test]
+fn a_peer_that_is_lost_moves_what_it_kept_and_no_more_and_none_keeps_for_all() {
+    let names: Vec<String> = (0..40).map(|i| format!("proxy-{i}")).collect();
+    let before = keepers_among(&names);
+    let load = |keeper: &String| before.iter().filter(|kept| kept.contains(keeper)).count();
+    let most = names.iter().map(load).max().expect("some");
+    assert!((3..=8).contains(&most), "two on the average, {most} at one");
+    let lost = names.iter().max_by_key(|name| load(name)).expect("one");
+    let left: Vec<String> = names.iter().filter(|name| *name != lost).cloned().collect();
+    for (me, after) in left.iter().zip(keepers_among(&left)) {
+        let before = &before[names.iter().position(|name| name == me).expect("it was there")];
+        assert_eq!(after.len(), 2);
+        assert!(before.iter().all(|keeper| keeper == lost || after.contains(keeper)), "{me}: {before:?}");
+    }
+}
