Wait at the end for the answer to a large body that a server has whole

A 503 says that trying again is harmless; a class that must not run twice may run twice for it.

Cause: Clients::ask guarded the branch by `upload.sent().is_none()`, which select! looks at once, as the wait begins, not when the end comes. Ruled out: bodies up to 64 KiB, which are read whole before the module is asked.

Change: cut_off() looks once the end has come, and waits on where the body is whole.

--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -227,6 +227,15 @@
         let _ = phase.wait_for(|phase| *phase == Phase::Ending).await;
     }
 
+    /// Waits until a body that is still on its way is not waited for any more: no backend has begun its request. Of
+    /// one that is whole by then the answer is waited for.
+    async fn cut_off(&self, upload: &Upload) {
+        self.ending().await;
+        if upload.sent().is_some() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     fn rejected_at_end(&self) -> Rejected {
         Rejected::Ending(self.table.borrow().retry_after)
     }
@@ -377,11 +386,10 @@
         self.handle.tell(Message::Request(Box::new(inbound), sender));
         let answer = match &upload {
             None => answer.await,
-            // A body that is still on its way at the end is not waited for: no backend has begun its request.
             Some(upload) => tokio::select! {
                 biased;
                 answer = answer => answer,
-                () = self.ending(), if upload.sent().is_none() => return self.rejected_at_end().response(),
+                () = self.cut_off(upload) => return self.rejected_at_end().response(),
             },
         };
         guard.answered();
--- a/tests/proxy/restart.rs
+++ b/tests/proxy/restart.rs
@@ -182,6 +182,17 @@
     assert!(matches!(fates[39], Some(Fate::Answered(400..))), "{fates:?}");
 }
 
+/// A large body that passes through and is whole after the signal: a server has its request, so that the end of the
+/// process must not call it harmless to send again.
+#[test]
+fn a_large_body_that_a_server_has_whole_is_never_refused_at_the_end() {
+    let (mut proxy, _discovery) = start("large-whole", Duration::from_secs(30));
+    let whole = text("charge", "large", &"x".repeat(100_000));
+    let (first, second) = whole.split_at(whole.len() - 5);
+    let fates = across_sigterm(&mut proxy, vec![vec![(0, first.to_owned()), (600, second.to_owned())]]);
+    assert_eq!(fates, [Some(Fate::Answered(502))]);
+}
+
 /// Two requests in one write: the second is answered, or the first answer says that the connection closes.
 #[test]
 fn of_two_requests_in_one_write_the_second_is_answered_or_told_to_go() {
