--- a/src/api.rs
+++ b/src/api.rs
@@ -234,6 +234,15 @@
     Gone,
 }
 
+/// How many proxies may send to a backend, where each proxy's list is a subset.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Senders {
+    /// Those in the backend's own zone.
+    pub local: u32,
+    /// Those of all zones.
+    pub all: u32,
+}
+
 /// A backend as discovery lists it.
 #[derive(Clone, Copy, Debug)]
 pub struct Backend {
@@ -249,6 +258,8 @@
     pub readiness: Readiness,
     /// When its process last started; `None`: long ago.
     pub started: Option<Micros>,
+    /// How many proxies may send to it; `None`: all that the settings count.
+    pub senders: Option<Senders>,
 }
 
 /// News of the backends.
@@ -368,6 +379,11 @@
     },
     /// Other settings are in force from now on. They make sense ([`Settings::validate`]).
     Settings(&'a Settings),
+    /// How many proxies serve the services of this instance's list.
+    Fleet {
+        /// Their number, this one among them; `None`: all that the settings count.
+        proxies: Option<u32>,
+    },
     /// How many processes serve in this instance's place while one replaces another.
     Company {
         /// Their number, this one among them.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -216,6 +216,7 @@
             Event::Maintenance { backend, out: away } => self.on_maintenance(now, backend, away, out),
             Event::Settings(settings) => self.on_settings(now, settings, out),
             Event::Company { processes } => self.processes = processes.max(1),
+            Event::Fleet { .. } => {}
             Event::Probed { .. } => {}
             Event::Timer(token) => self.on_timer(now, token, out),
         }
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -237,7 +237,7 @@
         let kind = self.kinds.get(&raw.flavor).copied().unwrap_or(0);
         let id = self.numbers.borrow_mut().number(&raw.id);
         let started = self.started(id, raw.up_since_ms);
-        let backend = Backend { id, zone, kind, cell: raw.cell, readiness, started };
+        let backend = Backend { id, zone, kind, cell: raw.cell, readiness, started, senders: None };
         Ok(Listed { backend, address })
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -284,6 +284,7 @@
                 other => return f.wrong(9, &format!("a readiness of 0 to 2, not {other}")),
             },
             started: Some(f.u64(14)?).filter(|&t| t != 0),
+            senders: None,
         })
     };
     entries.chunks_exact(ENTRY).enumerate().map(parse).collect()
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -74,6 +74,7 @@
         cell: (id / 6 * 2 + id % 2) as u16,
         readiness: Readiness::Ready,
         started: None,
+        senders: None,
     }
 }
 
