Say that a list is refused for its size, and ask for it ever more seldom

A list over 4 MiB (87,000 backends: 11.6 MB) ended as "the connection failed", said nothing of its size, and was asked for again at once, again and again: each such call costs the list service a whole list.

It is now `DiscoveryError::TooLarge`, with the size (by Content-Length before the body is read, else "more than"), the cap and what to do. The pause that follows doubles from 1 s to 60 s, with jitter. Where the module says when discovery is asked, the pause comes before the module hears of the failure, so that its own pauses don't shorten it. A move and any SIGHUP end the pause; a list that is taken resets it. The list held and its revision stay. A failure of this kind is logged beside others, once.

An answer other than 200 is known by its head: its body isn't read.

The stand-in for discovery moves from watches.rs to agent.rs, for both to use.

--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -7,7 +7,8 @@
 use crate::api::{Backend, BackendId, Readiness};
 use crate::balancer::{self, TOLD};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, StatusCode, Uri};
@@ -16,6 +17,8 @@
 use serde::Deserialize;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::mem::discriminant;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -43,8 +46,15 @@
 /// How long after a failed call an agent is asked again, however often it has failed. What it has counts as told
 /// whether or not a watch is open, and a drain among that ends sends 0.5 s later.
 const AGENT_PAUSE: Duration = Duration::from_millis(100);
-/// The largest list; thousands of entries fit in.
+/// The largest list in bytes; thousands of entries fit in.
 const LIST_CAP: usize = 4 << 20;
+/// The first pause after an answer that only somebody's correction will change. Each pause that follows is twice as
+/// long, up to [`LASTING_PAUSE_MOST`]: such an answer may cost the service as much as a good one.
+const LASTING_PAUSE_LEAST: Duration = Duration::from_secs(1);
+/// The longest pause after such an answer.
+const LASTING_PAUSE_MOST: Duration = Duration::from_secs(60);
+/// The part of such a pause that chance may add to it, so that many proxies do not ask at the same moments.
+const LASTING_PAUSE_JITTER: f64 = 0.5;
 
 /// A part of the time after which a change counts as told, which the module owns.
 const fn part_of_told(part: u64) -> Duration {
@@ -83,6 +93,64 @@
         "malformed list: {0}; see that `discovery` of the configuration names a service with the protocol's list"
     )]
     Malformed(serde_json::Error),
+    /// A list beyond the size that is taken.
+    #[error(
+        "the list is refused for its size: {size}, and at most {cap} bytes are taken; let it have fewer entries, by \
+         `[view]` of the file that GATESTAGE_CONFIG names or by a smaller list at discovery"
+    )]
+    TooLarge {
+        /// What is known of its size.
+        size: ListSize,
+        /// The largest size that is taken, in bytes.
+        cap: usize,
+    },
+}
+
+impl DiscoveryError {
+    /// Whether the next answer will be the same until somebody corrects something.
+    fn is_lasting(&self) -> bool {
+        matches!(self, Self::TooLarge { .. })
+    }
+}
+
+/// How large a list is that is beyond the size taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListSize {
+    /// As its Content-Length says, in bytes.
+    Exactly(u64),
+    /// It has no Content-Length, and was read up to this many bytes.
+    MoreThan(usize),
+}
+
+impl fmt::Display for ListSize {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Exactly(bytes) => write!(f, "{bytes} bytes"),
+            Self::MoreThan(bytes) => write!(f, "more than {bytes} bytes"),
+        }
+    }
+}
+
+/// The pauses after answers that only somebody's correction will change.
+#[derive(Debug, Default)]
+struct BackOff {
+    /// How many such answers have come in a row.
+    answers: u32,
+}
+
+impl BackOff {
+    /// The pause after one more such answer.
+    fn next_pause(&mut self, rng: &mut fastrand::Rng) -> Duration {
+        let doubled = LASTING_PAUSE_LEAST.saturating_mul(1_u32.checked_shl(self.answers).unwrap_or(u32::MAX));
+        self.answers = self.answers.saturating_add(1);
+        let longest = LASTING_PAUSE_MOST.div_f64(1.0 + LASTING_PAUSE_JITTER);
+        doubled.min(longest).mul_f64(1.0 + LASTING_PAUSE_JITTER * rng.f64())
+    }
+
+    /// A call has succeeded, or another service is asked.
+    fn reset(&mut self) {
+        self.answers = 0;
+    }
 }
 
 /// Why an entry of a list is passed over. The other entries of that list are used.
@@ -176,6 +244,7 @@
 /// Translates discovery's names.
 pub struct Translator {
     clock: Clock,
+    names: Names,
     zones: FxHashMap<String, u16>,
     kinds: FxHashMap<String, u8>,
     numbers: Rc<RefCell<Numbers>>,
@@ -187,6 +256,7 @@
     fn rename(&mut self, names: &Names) {
         self.zones = names.zones.iter().cloned().zip(0..).collect();
         self.kinds = names.kinds.iter().cloned().zip(0..=u8::MAX).collect();
+        self.names = names.clone();
     }
 
     /// A translator that knows the zones and kinds, and adds to the numbers of backends.
@@ -194,6 +264,7 @@
     pub fn new(clock: Clock, names: &Names, numbers: Rc<RefCell<Numbers>>) -> Self {
         let mut translator = Self {
             clock,
+            names: Names::default(),
             zones: FxHashMap::default(),
             kinds: FxHashMap::default(),
             numbers,
@@ -287,8 +358,9 @@
     rng: fastrand::Rng,
     /// The next call is to be made without a word from the module: a watch goes on, or discovery has moved.
     due: bool,
-    /// Whether the last call failed, so that a failure that lasts is logged once.
-    failing: bool,
+    /// The failure that was logged last since a call succeeded, so that one that lasts is logged once.
+    logged: Option<DiscoveryError>,
+    back_off: BackOff,
 }
 
 impl Watcher {
@@ -313,7 +385,8 @@
             revision: None,
             rng: fastrand::Rng::with_seed(seed),
             due: false,
-            failing: false,
+            logged: None,
+            back_off: BackOff::default(),
         }
     }
 
@@ -339,17 +412,23 @@
     }
 
     /// Follows discovery for as long as the proxy runs, at each address and with the names that `moves` tells.
+    ///
+    /// `moves` tells of every configuration that was read. One that changes nothing here does not touch a call that
+    /// is made, but it ends a pause after an answer that only somebody's correction will change.
     pub async fn run(mut self, mut moves: watch::Receiver<(SocketAddr, Names)>) {
+        let mut known = (self.address, self.translator.names.clone());
+        let mut reloads = moves.clone();
         loop {
             // A call that a move cuts short leaves nothing behind but its connection, which it drops.
-            tokio::select! {
+            let moved = tokio::select! {
                 biased;
-                Ok(()) = moves.changed() => {
-                    let (address, names) = &*moves.borrow_and_update();
-                    self.translator.rename(names);
-                    self.move_to(*address);
-                }
-                () = self.step() => {}
+                Ok(told) = moves.wait_for(|told| *told != known) => Some(told.clone()),
+                () = self.step(&mut reloads) => None,
+            };
+            if let Some((address, names)) = moved {
+                self.translator.rename(&names);
+                self.move_to(address);
+                known = (address, names);
             }
         }
     }
@@ -363,29 +442,60 @@
         }
         log(format_args!("discovery moves to {address}"));
         (self.address, self.host) = (address, host(address));
-        (self.revision, self.failing) = (None, false);
+        (self.revision, self.logged) = (None, None);
+        self.back_off.reset();
     }
 
     /// One call and what follows from it.
-    async fn step(&mut self) {
+    async fn step(&mut self, reloads: &mut watch::Receiver<(SocketAddr, Names)>) {
         if !self.due {
             self.wait_for_call().await;
         }
         match self.call().await {
             Ok(list) => {
-                (self.due, self.failing) = (true, false);
+                (self.due, self.logged) = (true, None);
+                self.back_off.reset();
                 self.pass_on(list);
             }
             Err(error) => {
-                if !std::mem::replace(&mut self.failing, true) {
-                    log(format_args!("discovery: {error}"));
-                }
                 (self.due, self.conn) = (false, None);
-                self.after_failure(matches!(error, DiscoveryError::Timeout)).await;
+                let (silent, lasting) = (matches!(error, DiscoveryError::Timeout), error.is_lasting());
+                self.log_once(error);
+                if !lasting {
+                    self.after_failure(silent).await;
+                } else if self.pause_is_over(reloads).await {
+                    self.ask_again(silent);
+                } else {
+                    self.due = true;
+                }
             }
         }
     }
 
+    /// Logs a failure unless one was logged since the last success. One that lasts is logged beside others.
+    fn log_once(&mut self, error: DiscoveryError) {
+        let is_new = match &self.logged {
+            None => true,
+            Some(logged) => error.is_lasting() && discriminant(logged) != discriminant(&error),
+        };
+        if is_new {
+            log(format_args!("discovery: {error}"));
+            self.logged = Some(error);
+        }
+    }
+
+    /// Waits until the service may be asked again after an answer that only somebody's correction will change.
+    /// False where a configuration was read before that: it may be the correction.
+    async fn pause_is_over(&mut self, reloads: &mut watch::Receiver<(SocketAddr, Names)>) -> bool {
+        let pause = self.back_off.next_pause(&mut self.rng);
+        reloads.mark_unchanged();
+        tokio::select! {
+            biased;
+            Ok(()) = reloads.changed() => false,
+            () = sleep(pause) => true,
+        }
+    }
+
     async fn wait_for_call(&mut self) {
         if let Some(asked) = &mut self.asked {
             // The driver ends only with the process.
@@ -412,10 +522,17 @@
 
     /// The module decides when a service is asked again; an agent is asked again after a short pause.
     async fn after_failure(&mut self, silent: bool) {
+        if self.asked.is_none() {
+            sleep(AGENT_PAUSE).await;
+        }
+        self.ask_again(silent);
+    }
+
+    /// The next call may be made: the module says when, or an agent is asked at once.
+    fn ask_again(&mut self, silent: bool) {
         if self.asked.is_some() {
-            return self.handle.tell(Message::Listed(Scope::Failed(silent), Vec::new()));
+            self.handle.tell(Message::Listed(Scope::Failed(silent), Vec::new()));
         }
-        sleep(AGENT_PAUSE).await;
     }
 
     /// One call: it goes on with the watch, or opens one, without a wait, for what has changed meanwhile.
@@ -464,13 +581,24 @@
         }
         let sent = conn.sender.send_request(request).await;
         let response = sent.map_err(|_| DiscoveryError::Connection)?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), LIST_CAP).collect().await;
-        let body = body.map_err(|_| DiscoveryError::Connection)?.to_bytes();
-        if status != StatusCode::OK {
-            return Err(DiscoveryError::Status(status));
+        if response.status() != StatusCode::OK {
+            return Err(DiscoveryError::Status(response.status()));
+        }
+        read_list(response.into_body()).await
+    }
+}
+
+/// Reads a list. One that is too large is not read where its length is known, else no further than what is taken.
+async fn read_list(body: Incoming) -> Result<Bytes, DiscoveryError> {
+    if let Some(length) = body.size_hint().exact().filter(|&length| length > LIST_CAP as u64) {
+        return Err(DiscoveryError::TooLarge { size: ListSize::Exactly(length), cap: LIST_CAP });
+    }
+    match Limited::new(body, LIST_CAP).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            Err(DiscoveryError::TooLarge { size: ListSize::MoreThan(LIST_CAP), cap: LIST_CAP })
         }
-        Ok(body)
+        Err(_) => Err(DiscoveryError::Connection),
     }
 }
 
--- a/src/proxy/program.rs
+++ b/src/proxy/program.rs
@@ -81,12 +81,7 @@
         self.owner.replace(Owner::of(&config));
         let report = config.names.report.clone();
         self.fleet.retune(config.dial_timeout, config.settings.permissions.conn_idle, report);
-        self.discovery.send_if_modified(|told| {
-            let now = (config.discovery, config.names.clone());
-            let differs = *told != now;
-            *told = now;
-            differs
-        });
+        self.discovery.send_replace((config.discovery, config.names.clone()));
         let classes: Vec<_> = config.settings.classes.iter().map(|c| c.name.as_str()).collect();
         log(format_args!("SIGHUP: new configuration in force, classes {}", classes.join(", ")));
         self.config = config;
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -1,5 +1,6 @@
 //! The proxy's program over loopback sockets: what must hold whatever backends and clients do.
 
+mod agent;
 mod customers;
 mod descriptors;
 mod gone;
@@ -7,6 +8,7 @@
 mod repeats;
 mod restart;
 mod rig;
+mod sizes;
 mod watches;
 
 use bytes::Bytes;
--- a/tests/proxy/watches.rs
+++ b/tests/proxy/watches.rs
@@ -1,10 +1,10 @@
 //! Watches that fall silent, agents that are away and lists in odd shapes: how soon what discovery has is in force.
 
+use crate::agent::{Agent, Call, config_at};
 use crate::rig::*;
 use serde_json::{Value, json};
-use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::mpsc::{Receiver, channel};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -17,66 +17,6 @@
 /// Sends end this long after a drain is told, the slack of sockets left out.
 const DRAIN: Duration = Duration::from_millis(500);
 
-/// A call to discovery. The test answers it, or does not.
-struct Call {
-    /// Which of discovery's connections it came on.
-    connection: usize,
-    /// The version that the caller knows.
-    after: Option<u64>,
-    at: Instant,
-    stream: TcpStream,
-}
-
-impl Call {
-    fn write(&mut self, bytes: &[u8]) {
-        self.stream.write_all(bytes).expect("the proxy reads");
-    }
-
-    fn answer(mut self, list: &Value) {
-        self.write(&answer("200 OK", "", list.to_string().as_bytes()));
-    }
-}
-
-/// Discovery that leaves each call to the test.
-struct Agent {
-    address: SocketAddr,
-    calls: Receiver<Call>,
-}
-
-impl Agent {
-    fn start() -> Self {
-        Self::on(TcpListener::bind("127.0.0.1:0").expect("a port"))
-    }
-
-    fn on(listener: TcpListener) -> Self {
-        let address = listener.local_addr().expect("an address");
-        let (told, calls) = channel();
-        thread::spawn(move || {
-            for (connection, stream) in listener.incoming().enumerate() {
-                let (Ok(stream), told) = (stream, told.clone()) else { return };
-                thread::spawn(move || {
-                    let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
-                    while let Some(seen) = read_message(&mut reader) {
-                        let number = |rest: &str| rest.split('&').next().and_then(|n| n.parse().ok());
-                        let after = seen.first_line().split_once("after=").and_then(|(_, rest)| number(rest));
-                        let stream = stream.try_clone().expect("a clone");
-                        let call = Call { connection, after, at: Instant::now(), stream };
-                        if told.send(call).is_err() {
-                            return;
-                        }
-                    }
-                });
-            }
-        });
-        Self { address, calls }
-    }
-
-    /// The next call, which may be a long wait away where discovery is asked.
-    fn next(&self) -> Call {
-        self.calls.recv_timeout(2 * PATIENCE).expect("a call")
-    }
-}
-
 /// Two backends, one of which a change takes out.
 struct Pair {
     leaver: Backend,
@@ -120,19 +60,6 @@
     }
 }
 
-/// A configuration with an old list. Where discovery is asked it is shared by as many proxies as make the module
-/// leave it alone for ten seconds and more after a failed call.
-fn config_at(name: &str, mode: &str, address: SocketAddr, known: &Value) -> Value {
-    let mut settings = settings();
-    settings["membershipMode"] = mode.into();
-    if mode == "on_request" {
-        settings["balancers"] = 300.into();
-        settings["safety"]["askWithinUs"] = 10_000_000.into();
-    }
-    json!({"name": name, "listen": "127.0.0.1:0", "discovery": address.to_string(), "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known, "settings": settings})
-}
-
 /// The ways in which a watch falls silent: what is written before, and whether a byte comes each second from then on.
 fn silences(list: &str) -> [(&'static str, String, bool); 4] {
     let length = list.len();
