Split discovery into modules of one job each

mod.rs keeps the watcher; its parts are now entries.rs (the list as it is written, the translator), numbers.rs (names to numbers), error.rs, connection.rs (a call and what its answer holds) and back_off.rs. The public paths and the behaviour stay.

--- /dev/null
+++ b/src/proxy/discovery/connection.rs
@@ -0,0 +1,78 @@
+//! One connection to discovery: a call and what its answer holds.
+
+use super::error::{DiscoveryError, ListSize};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, StatusCode, Uri};
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// The largest list in bytes; thousands of entries fit in.
+const LIST_CAP: usize = 4 << 20;
+
+/// One connection to discovery. Dropping it closes it, whatever call is out on it.
+pub(super) struct Connection {
+    sender: SendRequest<Empty<Bytes>>,
+    host: Option<HeaderValue>,
+    task: JoinHandle<()>,
+}
+
+impl Connection {
+    /// A new connection.
+    pub(super) async fn dial(address: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(address).await.ok()?;
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let task = tokio::task::spawn_local(async move {
+            // How it ended shows in the call that was on it.
+            let _ = connection.await;
+        });
+        let host = HeaderValue::try_from(address.to_string()).ok();
+        Some(Self { sender, host, task })
+    }
+
+    /// Waits until another call can be made on it; false where it was closed.
+    pub(super) async fn is_free(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Asks for a list.
+    pub(super) async fn fetch(&mut self, target: &str) -> Result<Bytes, DiscoveryError> {
+        let mut request = Request::new(Empty::new());
+        *request.uri_mut() = target.parse::<Uri>().unwrap_or_default();
+        if let Some(host) = &self.host {
+            request.headers_mut().insert(HOST, host.clone());
+        }
+        let sent = self.sender.send_request(request).await;
+        let response = sent.map_err(|_| DiscoveryError::Connection)?;
+        if response.status() != StatusCode::OK {
+            return Err(DiscoveryError::Status(response.status()));
+        }
+        read_list(response.into_body()).await
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Reads a list. One that is too large is not read where its length is known, else no further than what is taken.
+async fn read_list(body: Incoming) -> Result<Bytes, DiscoveryError> {
+    if let Some(length) = body.size_hint().exact().filter(|&length| length > LIST_CAP as u64) {
+        return Err(DiscoveryError::TooLarge { size: ListSize::Exactly(length), cap: LIST_CAP });
+    }
+    match Limited::new(body, LIST_CAP).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            Err(DiscoveryError::TooLarge { size: ListSize::MoreThan(LIST_CAP), cap: LIST_CAP })
+        }
+        Err(_) => Err(DiscoveryError::Connection),
+    }
+}
