--- a/src/proxy/discovery/mod.rs
+++ b/src/proxy/discovery/mod.rs
@@ -157,6 +157,7 @@
         if !self.due {
             self.wait_for_call().await;
         }
+        reloads.mark_unchanged();
         match self.call().await {
             Ok(list) => {
                 (self.due, self.logged) = (true, None);
@@ -191,10 +192,9 @@
     }
 
     /// Waits until the service may be asked again after an answer that only somebody's correction will change.
-    /// False where a configuration was read before that: it may be the correction.
+    /// False where a configuration was read since the call began: it may be the correction.
     async fn pause_is_over(&mut self, reloads: &mut watch::Receiver<(SocketAddr, Names)>) -> bool {
         let pause = self.back_off.next_pause(&mut self.rng);
-        reloads.mark_unchanged();
         tokio::select! {
             biased;
             Ok(()) = reloads.changed() => false,
