--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -10,7 +10,8 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::{env, fmt, fs, io};
+use std::{env, fs, io};
+use thiserror::Error;
 
 /// Descriptors that are neither clients nor backends: standard streams, the runtime and its signals (8), listeners
 /// (3), discovery (2), another process of this proxy (2), operators (9). Where there are many, the state's files and
@@ -25,44 +26,55 @@
 /// a repeat has to be written and to travel, and what counts is when it is there.
 const KEY_MARGIN: Micros = 10_000;
 
-/// Why the proxy can't start.
-#[derive(Debug)]
+/// Why the proxy can't start, or keeps the configuration that it has.
+#[derive(Debug, Error)]
 pub enum ConfigError {
     /// A variable of the environment is missing.
+    #[error("{0} is not set: it has to name the proxy's configuration, a JSON file")]
     Missing(&'static str),
     /// The file can't be read.
-    Unreadable(PathBuf, io::Error),
+    #[error("cannot read {}: {source}; see that the file is there and that this user may read it", path.display())]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
     /// The file is not the JSON that is wanted.
+    #[error("malformed configuration: {0}; correct it in the file that EDGE_CONFIG names")]
     Malformed(serde_json::Error),
     /// An address is missing or is none.
-    Address(&'static str, String),
+    #[error("`{field}` is no address: `{given}`; write an IP address with a port, as in 127.0.0.1:8080")]
+    Address {
+        /// The key.
+        field: &'static str,
+        /// What stands there; empty: nothing.
+        given: String,
+    },
     /// A setting makes no sense.
-    Settings(SettingsError),
-    /// A key that the configuration in force has is missing.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// A key is missing that the configuration in force has, or that every configuration has to have.
+    #[error("`{0}` is missing: add it to the file that EDGE_CONFIG names")]
     Incomplete(String),
-    /// The TOML file beside it is not what is wanted; the message names the line.
-    Beside(PathBuf, toml::de::Error),
+    /// The TOML file beside it is not what is wanted; the cause names the line.
+    #[error("{}: {source}", path.display())]
+    Beside {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: Box<toml::de::Error>,
+    },
     /// Its group makes no sense.
-    Group(PathBuf, GroupError),
+    #[error("{}: {source}", path.display())]
+    Group {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: GroupError,
+    },
 }
 
-impl fmt::Display for ConfigError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Missing(name) => write!(f, "{name} is not set"),
-            Self::Unreadable(path, error) => write!(f, "cannot read {}: {error}", path.display()),
-            Self::Malformed(error) => write!(f, "malformed configuration: {error}"),
-            Self::Address(field, given) => write!(f, "`{field}` is no address: `{given}`"),
-            Self::Settings(error) => write!(f, "{error}"),
-            Self::Incomplete(key) => write!(f, "`{key}` is missing"),
-            Self::Beside(path, error) => write!(f, "{}: {error}", path.display()),
-            Self::Group(path, error) => write!(f, "{}: {error}", path.display()),
-        }
-    }
-}
-
-impl std::error::Error for ConfigError {}
-
 /// The names that the protocol uses and the module knows by their position.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Names {
@@ -148,11 +160,14 @@
     fn read(path: PathBuf) -> Result<Self, ConfigError> {
         let text = match fs::read_to_string(&path) {
             Ok(text) => text,
-            Err(error) => return Err(ConfigError::Unreadable(path, error)),
+            Err(source) => return Err(ConfigError::Unreadable { path, source }),
+        };
+        let beside: Self = match toml::from_str(&text) {
+            Ok(beside) => beside,
+            Err(source) => return Err(ConfigError::Beside { path, source: Box::new(source) }),
         };
-        let beside: Self = toml::from_str(&text).map_err(|e| ConfigError::Beside(path.clone(), e))?;
-        if let Some(group) = &beside.group {
-            group.check(&text).map_err(|e| ConfigError::Group(path, e))?;
+        if let Some(Err(source)) = beside.group.as_ref().map(|group| group.check(&text)) {
+            return Err(ConfigError::Group { path, source });
         }
         Ok(beside)
     }
@@ -208,7 +223,7 @@
     /// Says in one line what is missing or wrong.
     pub fn from_env() -> Result<Self, ConfigError> {
         let path = PathBuf::from(env::var_os("EDGE_CONFIG").ok_or(ConfigError::Missing("EDGE_CONFIG"))?);
-        let text = fs::read(&path).map_err(|e| ConfigError::Unreadable(path, e))?;
+        let text = fs::read(&path).map_err(|source| ConfigError::Unreadable { path, source })?;
         let config = Self::parse(&text, |name| env::var(name).ok())?.within_the_process();
         match env::var_os("GATESTAGE_CONFIG") {
             Some(path) => Ok(config.beside(Beside::read(PathBuf::from(path))?)),
@@ -262,13 +277,13 @@
         let keys = keys(text)?;
         let address = |field: &'static str, given: Option<String>, name: &str| {
             let given = given.or_else(|| variable(name)).unwrap_or_default();
-            given.parse().map_err(|_| ConfigError::Address(field, given))
+            given.parse().map_err(|_| ConfigError::Address { field, given })
         };
         let listen = address("listen", raw.listen, "EDGE_LISTEN")?;
         let discovery = address("discovery", raw.discovery, "EDGE_DISCOVERY")?;
         let settings = serde_json::to_vec(&raw.settings).map_err(ConfigError::Malformed)?;
         let more: RawNames = serde_json::from_value(raw.settings).map_err(ConfigError::Malformed)?;
-        let mut settings = parse_settings(&settings).map_err(ConfigError::Settings)?;
+        let mut settings = parse_settings(&settings)?;
         for class in &mut settings.classes {
             if let Effect::Keyed { ttl, .. } = &mut class.effect {
                 *ttl -= KEY_MARGIN.min(*ttl / 4);
