Ask for a view: the services that this proxy serves

Every proxy held every backend of the platform. With `[view]` in the file that GATESTAGE_CONFIG names it asks the list service for the services that it serves, by name, and holds what that answers: `senders` of an entry goes to the module with its backend, `view.proxies` as `Message::Fleet` before the list that changes it, also back to none when a service answers that knows no views. The changes of a view are not taken for those of the whole list, nor the reverse: all of it is asked for then. So does the first call, and the first after a SIGHUP that changes the view; the last list serves until it has come.

An answer of a view with a lower revision than one taken before and a 4xx are typed errors, said once, with the service's reason (512 bytes at most, what does not show escaped); the list held serves on, and the pauses are those after a list that is too large. Where discovery moves to another address, revisions count anew, as before.

--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -2,6 +2,7 @@
 //! `GATESTAGE_CONFIG` may name, and the environment.
 
 use super::log;
+use super::view::{ViewConfig, ViewError};
 use crate::api::{Effect, Micros, Settings, SettingsError};
 use crate::group::{GroupConfig, GroupError};
 use crate::wire::parse_settings;
@@ -65,6 +66,14 @@
         /// The cause.
         source: Box<toml::de::Error>,
     },
+    /// Its view makes no sense.
+    #[error("{}: {source}", path.display())]
+    View {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: ViewError,
+    },
     /// Its group makes no sense.
     #[error("{}: {source}", path.display())]
     Group {
@@ -106,6 +115,8 @@
     pub state_dir: Option<PathBuf>,
     /// The group that this proxy makes its promises with; `None`: it knows of no other.
     pub group: Option<GroupConfig>,
+    /// Which services the list of backends is to hold; `None`: all there are.
+    pub view: Option<ViewConfig>,
     /// The list of backends as last known, in discovery's form.
     pub known: Value,
     /// The module's settings.
@@ -154,6 +165,7 @@
     state_dir: Option<PathBuf>,
     admin_addr: Option<SocketAddr>,
     group: Option<GroupConfig>,
+    view: Option<ViewConfig>,
 }
 
 impl Beside {
@@ -169,6 +181,9 @@
         if let Some(Err(source)) = beside.group.as_ref().map(|group| group.check(&text)) {
             return Err(ConfigError::Group { path, source });
         }
+        if let Some(Err(source)) = beside.view.as_ref().map(ViewConfig::check) {
+            return Err(ConfigError::View { path, source });
+        }
         Ok(beside)
     }
 }
@@ -231,8 +246,9 @@
         }
     }
 
-    fn beside(self, Beside { state_dir, admin_addr, group }: Beside) -> Self {
-        Self { state_dir: state_dir.or(self.state_dir), admin: admin_addr.or(self.admin), group, ..self }
+    fn beside(self, Beside { state_dir, admin_addr, group, view }: Beside) -> Self {
+        let (state_dir, admin) = (state_dir.or(self.state_dir), admin_addr.or(self.admin));
+        Self { state_dir, admin, group, view, ..self }
     }
 
     /// The shares of what the process can have: the system may let it have less than the configuration says. What
@@ -306,6 +322,7 @@
             seed: seed(&raw.seed),
             state_dir: raw.state_dir.or_else(|| variable("GATESTAGE_STATE_DIR").map(PathBuf::from)),
             group: None,
+            view: None,
             known: raw.known,
             settings,
             names: Names {
--- a/src/proxy/discovery/connection.rs
+++ b/src/proxy/discovery/connection.rs
@@ -9,12 +9,28 @@
 use hyper::{Request, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 /// The largest list in bytes; thousands of entries fit in.
 const LIST_CAP: usize = 4 << 20;
 
+/// How much of a service's reason for a refusal is read, in bytes.
+const REASON_CAP: usize = 512;
+/// How long the rest of a refusal may take to come behind its head.
+const REASON_WITHIN: Duration = Duration::from_millis(250);
+
+/// What a call asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Wanted {
+    /// The platform's list.
+    Whole,
+    /// A view of it.
+    View,
+}
+
 /// One connection to discovery. Dropping it closes it, whatever call is out on it.
 pub(super) struct Connection {
     sender: SendRequest<Empty<Bytes>>,
@@ -42,7 +58,7 @@
     }
 
     /// Asks for a list.
-    pub(super) async fn fetch(&mut self, target: &str) -> Result<Bytes, DiscoveryError> {
+    pub(super) async fn fetch(&mut self, target: &str, wanted: Wanted) -> Result<Bytes, DiscoveryError> {
         let mut request = Request::new(Empty::new());
         *request.uri_mut() = target.parse::<Uri>().unwrap_or_default();
         if let Some(host) = &self.host {
@@ -50,10 +66,14 @@
         }
         let sent = self.sender.send_request(request).await;
         let response = sent.map_err(|_| DiscoveryError::Connection)?;
-        if response.status() != StatusCode::OK {
-            return Err(DiscoveryError::Status(response.status()));
+        match response.status() {
+            StatusCode::OK => read_list(response.into_body()).await,
+            status if status.is_client_error() && wanted == Wanted::View => {
+                let reason = read_reason(response.into_body()).await;
+                Err(DiscoveryError::Refused { status, reason })
+            }
+            status => Err(DiscoveryError::Status(status)),
         }
-        read_list(response.into_body()).await
     }
 }
 
@@ -76,3 +96,34 @@
         Err(_) => Err(DiscoveryError::Connection),
     }
 }
+
+/// Reads the beginning of a service's reason for a refusal, fit for a line of the log.
+async fn read_reason(mut body: Incoming) -> String {
+    let mut bytes = Vec::new();
+    let read = async {
+        while let Some(Ok(frame)) = body.frame().await
+            && bytes.len() < REASON_CAP
+        {
+            bytes.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
+        }
+    };
+    // What has come until then is all there is.
+    let _ = timeout(REASON_WITHIN, read).await;
+    bytes.truncate(REASON_CAP);
+    printable(String::from_utf8_lossy(&bytes).trim())
+}
+
+/// A text whose characters all show: what controls a terminal or begins a line is escaped.
+fn printable(text: &str) -> String {
+    if text.is_empty() {
+        return "no reason given".to_owned();
+    }
+    let mut shown = String::with_capacity(text.len());
+    for character in text.chars() {
+        match character {
+            '"' | '\'' | '\\' => shown.push(character),
+            other => shown.extend(other.escape_debug()),
+        }
+    }
+    shown
+}
--- a/src/proxy/discovery/entries.rs
+++ b/src/proxy/discovery/entries.rs
@@ -2,7 +2,7 @@
 
 use super::error::{DiscoveryError, EntryError};
 use super::numbers::Numbers;
-use crate::api::{Backend, BackendId, Readiness};
+use crate::api::{Backend, BackendId, Readiness, Senders};
 use crate::proxy::clock::Clock;
 use crate::proxy::config::Names;
 use crate::proxy::log;
@@ -11,17 +11,39 @@
 use serde_json::Value;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::num::NonZeroU32;
 use std::rc::Rc;
 
+/// A list as it is written.
 #[derive(Deserialize)]
-struct RawList {
-    revision: u64,
+pub(super) struct RawList {
+    pub(super) revision: u64,
     #[serde(default)]
     complete: bool,
     #[serde(default)]
+    view: Value,
+    #[serde(default)]
     members: Vec<Value>,
 }
 
+#[derive(Deserialize)]
+struct RawView {
+    proxies: NonZeroU32,
+}
+
+impl RawList {
+    /// Reads a list's shape; its entries are read one by one.
+    pub(super) fn read(json: Value) -> Result<Self, DiscoveryError> {
+        serde_json::from_value(json).map_err(DiscoveryError::Malformed)
+    }
+
+    /// How many proxies serve the services of the view that this list is of; `None`: it is of no view.
+    pub(super) fn proxies(&self) -> Result<Option<u32>, DiscoveryError> {
+        let view = Option::<RawView>::deserialize(&self.view).map_err(DiscoveryError::Malformed)?;
+        Ok(view.map(|view| view.proxies.get()))
+    }
+}
+
 #[derive(Deserialize)]
 struct RawMember {
     id: String,
@@ -34,6 +56,8 @@
     phase: String,
     #[serde(default)]
     up_since_ms: u64,
+    #[serde(default)]
+    senders: Value,
 }
 
 /// A backend as the list has it, in the module's numbers, and where it listens.
@@ -52,6 +76,8 @@
     pub revision: u64,
     /// Whether it names all backends.
     pub complete: bool,
+    /// How many proxies serve the services of the view that it is of; `None`: it is of no view.
+    pub proxies: Option<u32>,
     /// The entries that make sense.
     pub entries: Vec<Listed>,
 }
@@ -59,8 +85,6 @@
 /// Translates discovery's names.
 pub struct Translator {
     clock: Clock,
-    /// The names that are in force.
-    pub(super) names: Names,
     zones: FxHashMap<String, u16>,
     kinds: FxHashMap<String, u8>,
     numbers: Rc<RefCell<Numbers>>,
@@ -72,7 +96,6 @@
     pub(super) fn rename(&mut self, names: &Names) {
         self.zones = names.zones.iter().cloned().zip(0..).collect();
         self.kinds = names.kinds.iter().cloned().zip(0..=u8::MAX).collect();
-        self.names = names.clone();
     }
 
     /// A translator that knows the zones and kinds, and adds to the numbers of backends.
@@ -80,7 +103,6 @@
     pub fn new(clock: Clock, names: &Names, numbers: Rc<RefCell<Numbers>>) -> Self {
         let mut translator = Self {
             clock,
-            names: Names::default(),
             zones: FxHashMap::default(),
             kinds: FxHashMap::default(),
             numbers,
@@ -90,24 +112,33 @@
         translator
     }
 
-    /// Reads a list. Entries that make no sense are logged and passed over.
+    /// Reads a list, of a view where it says so. Entries that make no sense are logged and passed over.
     ///
     /// # Errors
     /// Where the list as a whole is not what is wanted.
     pub fn list(&mut self, json: Value) -> Result<List, DiscoveryError> {
-        let raw: RawList = serde_json::from_value(json).map_err(DiscoveryError::Malformed)?;
-        let entries = raw.members.into_iter().filter_map(|member| match self.member(member) {
-            Ok(listed) => Some(listed),
-            Err(problem) => {
-                log(format_args!("passing over an entry of the list: {problem}"));
-                None
-            }
-        });
-        Ok(List { revision: raw.revision, complete: raw.complete, entries: entries.collect() })
+        let raw = RawList::read(json)?;
+        let proxies = raw.proxies()?;
+        Ok(self.translate(raw, proxies))
+    }
+
+    /// Reads the entries of a list, of the view that so many `proxies` serve or of none. Entries that make no sense
+    /// are logged and passed over.
+    pub(super) fn translate(&mut self, raw: RawList, proxies: Option<u32>) -> List {
+        let entries =
+            raw.members.into_iter().filter_map(|member| match self.member(member, proxies.is_some()) {
+                Ok(listed) => Some(listed),
+                Err(problem) => {
+                    log(format_args!("passing over an entry of the list: {problem}"));
+                    None
+                }
+            });
+        List { revision: raw.revision, complete: raw.complete, proxies, entries: entries.collect() }
     }
 
-    fn member(&mut self, member: Value) -> Result<Listed, EntryError> {
+    fn member(&mut self, member: Value, of_view: bool) -> Result<Listed, EntryError> {
         let raw: RawMember = serde_json::from_value(member).map_err(EntryError::Malformed)?;
+        let senders = if of_view { senders(&raw)? } else { None };
         let Ok(address) = raw.host_port.parse() else {
             return Err(EntryError::Address(raw.id, raw.host_port));
         };
@@ -124,7 +155,7 @@
         let kind = self.kinds.get(&raw.flavor).copied().unwrap_or(0);
         let id = self.numbers.borrow_mut().number(&raw.id);
         let started = self.started(id, raw.up_since_ms);
-        let backend = Backend { id, zone, kind, cell: raw.cell, readiness, started, senders: None };
+        let backend = Backend { id, zone, kind, cell: raw.cell, readiness, started, senders };
         Ok(Listed { backend, address })
     }
 
@@ -141,3 +172,14 @@
         started
     }
 }
+
+/// How many proxies hold an entry of a view.
+fn senders(raw: &RawMember) -> Result<Option<Senders>, EntryError> {
+    let senders = Option::<Senders>::deserialize(&raw.senders).map_err(EntryError::Malformed)?;
+    match senders {
+        Some(Senders { local, all }) if all == 0 || local > all => {
+            Err(EntryError::Senders { id: raw.id.clone(), local, all })
+        }
+        senders => Ok(senders),
+    }
+}
--- a/src/proxy/discovery/error.rs
+++ b/src/proxy/discovery/error.rs
@@ -2,6 +2,7 @@
 
 use hyper::StatusCode;
 use std::fmt;
+use std::mem::discriminant;
 use thiserror::Error;
 
 /// Why a call to discovery brought nothing. The proxy goes on with the list that it has and asks again by itself.
@@ -38,12 +39,42 @@
         /// The largest size that is taken, in bytes.
         cap: usize,
     },
+    /// The service does not give this proxy the view that it asks for.
+    #[error(
+        "answered {status}: {reason}; correct `[view]` of the file that GATESTAGE_CONFIG names or the list service's \
+         file; the list held serves on"
+    )]
+    Refused {
+        /// The answer's status, of the 4xx.
+        status: StatusCode,
+        /// The beginning of what the service says.
+        reason: String,
+    },
+    /// A list of a view that is older than one taken before.
+    #[error(
+        "the list has revision {told} although revision {held} was taken before: raise `revision` in the list service's \
+         file above {held}, or give all its instances the same file; the list held serves on"
+    )]
+    Older {
+        /// The revision that was taken.
+        held: u64,
+        /// That of the answer.
+        told: u64,
+    },
 }
 
 impl DiscoveryError {
     /// Whether the next answer will be the same until somebody corrects something.
     pub(super) fn is_lasting(&self) -> bool {
-        matches!(self, Self::TooLarge { .. })
+        matches!(self, Self::TooLarge { .. } | Self::Refused { .. } | Self::Older { .. })
+    }
+
+    /// Whether both say the same to an operator. A list that is too large may grow meanwhile.
+    pub(super) fn is_same_as(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Refused { reason, .. }, Self::Refused { reason: other, .. }) => reason == other,
+            _ => discriminant(self) == discriminant(other),
+        }
     }
 }
 
@@ -82,4 +113,17 @@
         "`{0}`: unknown locality `{1}`; add it to `failureDomains` of the settings or correct it in discovery"
     )]
     Locality(String, String),
+    /// Numbers of proxies that can't be.
+    #[error(
+        "`{id}`: `senders` has local {local} of all {all}: all is at least 1, and local no more than that; correct it \
+         at the list service"
+    )]
+    Senders {
+        /// The entry's `id`.
+        id: String,
+        /// The proxies of its zone.
+        local: u32,
+        /// Those of all zones.
+        all: u32,
+    },
 }
--- a/src/proxy/discovery/mod.rs
+++ b/src/proxy/discovery/mod.rs
@@ -10,22 +10,25 @@
 pub use error::{DiscoveryError, ListSize};
 pub use numbers::Numbers;
 
-use super::config::Names;
+use super::config::{Config, Names};
 use super::driver::{Handle, Message, Scope};
 use super::log;
+use super::view::ViewConfig;
 use crate::api::Readiness;
 use crate::balancer::{self, TOLD};
 use back_off::BackOff;
-use connection::Connection;
+use connection::{Connection, Wanted};
+use entries::RawList;
 use serde_json::Value;
 use std::cell::Cell;
-use std::mem::discriminant;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout_at};
 
+/// Where a service answers with lists.
+const DISCOVERY_PATH: &str = "/discovery/hosts";
 /// How long a watch may wait at the most; each waits a little less, by chance, so that those of many proxies, which
 /// one change answers together, do not end together. To go on with a watch costs discovery next to nothing (three
 /// hundred proxies: no call failed, the price of lists as with waits of 20 s), so this is short: it bounds how long a
@@ -50,9 +53,28 @@
     Duration::from_micros(TOLD / part)
 }
 
+/// Where lists come from, and what is asked for: what a new configuration may change.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Source {
+    /// Where discovery listens.
+    pub address: SocketAddr,
+    /// The names in its lists.
+    pub names: Names,
+    /// The services that are asked for; `None`: the whole list.
+    pub view: Option<ViewConfig>,
+}
+
+impl Source {
+    /// What a configuration says of it.
+    #[must_use]
+    pub fn of(config: &Config) -> Self {
+        Self { address: config.discovery, names: config.names.clone(), view: config.view.clone() }
+    }
+}
+
 /// Follows discovery.
 pub struct Watcher {
-    address: SocketAddr,
+    source: Source,
     translator: Translator,
     handle: Handle,
     /// Set once a list is held.
@@ -61,7 +83,12 @@
     asked: Option<mpsc::UnboundedReceiver<()>>,
     /// The connection of the watch that goes on.
     connection: Option<Connection>,
+    /// The version of the list held, where its changes can be asked for.
     revision: Option<u64>,
+    /// How many proxies the driver was told of with the list held; `None`: that list is of no view.
+    proxies: Option<u32>,
+    /// The version of the last list of a view that was taken. No older one is.
+    newest_view: Option<u64>,
     rng: fastrand::Rng,
     /// The next call is to be made without a word from the module: a watch goes on, or discovery has moved.
     due: bool,
@@ -74,7 +101,7 @@
     /// A watcher that has made no call. With `asked` it begins a watch only when told to, otherwise by itself.
     #[must_use]
     pub fn new(
-        address: SocketAddr,
+        source: Source,
         translator: Translator,
         handle: Handle,
         held: Rc<Cell<bool>>,
@@ -82,13 +109,15 @@
         seed: u64,
     ) -> Self {
         Self {
-            address,
+            source,
             translator,
             handle,
             held,
             asked,
             connection: None,
             revision: None,
+            proxies: None,
+            newest_view: None,
             rng: fastrand::Rng::with_seed(seed),
             due: false,
             logged: None,
@@ -100,10 +129,12 @@
     /// what has changed since, which spares a discovery that many proxies share at their start the whole list.
     pub fn start_from(&mut self, known: Value) {
         let named = known.get("members").and_then(Value::as_array).map_or(0, Vec::len);
-        let entries = match self.translator.list(known) {
+        let entries = match RawList::read(known) {
             Ok(list) => {
-                // A list with gaps can't be completed by its changes.
-                let is_whole = list.complete && list.entries.len() == named && named > 0;
+                let list = self.translator.translate(list, None);
+                // A list with gaps can't be completed by its changes, nor can a view by those of the whole list.
+                let has_all = list.complete && list.entries.len() == named && named > 0;
+                let is_whole = has_all && self.source.view.is_none();
                 self.revision = is_whole.then_some(list.revision);
                 list.entries
             }
@@ -117,43 +148,53 @@
         self.handle.tell(Message::Listed(Scope::Cached, entries));
     }
 
-    /// Follows discovery for as long as the proxy runs, at each address and with the names that `moves` tells.
+    /// Follows discovery for as long as the proxy runs, from each source that `sources` tells.
     ///
-    /// `moves` tells of every configuration that was read. One that changes nothing here does not touch a call that
+    /// `sources` tells of every configuration that was read. One that changes nothing here does not touch a call that
     /// is made, but it ends a pause after an answer that only somebody's correction will change.
-    pub async fn run(mut self, mut moves: watch::Receiver<(SocketAddr, Names)>) {
-        let mut known = (self.address, self.translator.names.clone());
-        let mut reloads = moves.clone();
+    pub async fn run(mut self, mut sources: watch::Receiver<Source>) {
+        let mut current = self.source.clone();
+        let mut reloads = sources.clone();
         loop {
-            // A call that a move cuts short leaves nothing behind but its connection, which it drops.
-            let moved = tokio::select! {
+            // A call that a change cuts short leaves nothing behind but its connection, which it drops.
+            let changed = tokio::select! {
                 biased;
-                Ok(told) = moves.wait_for(|told| *told != known) => Some(told.clone()),
+                Ok(told) = sources.wait_for(|told| *told != current) => Some(told.clone()),
                 () = self.step(&mut reloads) => None,
             };
-            if let Some((address, names)) = moved {
-                self.translator.rename(&names);
-                self.move_to(address);
-                known = (address, names);
+            if let Some(source) = changed {
+                current = source.clone();
+                self.follow(source);
             }
         }
     }
 
-    /// Discovery listens elsewhere: the list there need not count its versions as the old one did.
-    fn move_to(&mut self, address: SocketAddr) {
+    /// Goes on with another source, from which the list held serves on until the first answer.
+    fn follow(&mut self, source: Source) {
         // A call was cut short for this, and what it was made for still stands.
         (self.due, self.connection) = (true, None);
-        if address == self.address {
-            return;
+        self.translator.rename(&source.names);
+        let old = std::mem::replace(&mut self.source, source);
+        if self.source.address != old.address {
+            log(format_args!("discovery moves to {}", self.source.address));
+            // The list there need not count its versions as the old one did.
+            self.newest_view = None;
+            self.start_anew();
         }
-        log(format_args!("discovery moves to {address}"));
-        self.address = address;
+        if self.source.view != old.view {
+            log(format_args!("the view changes: asking for its whole list"));
+            self.start_anew();
+        }
+    }
+
+    /// The next call asks for the whole list, and its failure is none of those before.
+    fn start_anew(&mut self) {
         (self.revision, self.logged) = (None, None);
         self.back_off.reset();
     }
 
     /// One call and what follows from it.
-    async fn step(&mut self, reloads: &mut watch::Receiver<(SocketAddr, Names)>) {
+    async fn step(&mut self, reloads: &mut watch::Receiver<Source>) {
         if !self.due {
             self.wait_for_call().await;
         }
@@ -183,7 +224,7 @@
     fn log_once(&mut self, error: DiscoveryError) {
         let is_new = match &self.logged {
             None => true,
-            Some(logged) => error.is_lasting() && discriminant(logged) != discriminant(&error),
+            Some(logged) => error.is_lasting() && !error.is_same_as(logged),
         };
         if is_new {
             log(format_args!("discovery: {error}"));
@@ -193,7 +234,7 @@
 
     /// Waits until the service may be asked again after an answer that only somebody's correction will change.
     /// False where a configuration was read since the call began: it may be the correction.
-    async fn pause_is_over(&mut self, reloads: &mut watch::Receiver<(SocketAddr, Names)>) -> bool {
+    async fn pause_is_over(&mut self, reloads: &mut watch::Receiver<Source>) -> bool {
         let pause = self.back_off.next_pause(&mut self.rng);
         tokio::select! {
             biased;
@@ -219,13 +260,32 @@
             self.revision = None;
             return;
         }
+        if !list.complete && self.revision.is_some() && list.proxies.is_some() != self.proxies.is_some() {
+            // An instance that knows views has taken the place of one that doesn't, or the reverse.
+            let told = if list.proxies.is_some() { "a view" } else { "the whole list" };
+            log(format_args!("discovery tells changes of {told}, which is not held: asking for all of it"));
+            self.revision = None;
+            return;
+        }
         self.revision = Some(list.revision);
         self.held.set(true);
+        self.tell_proxies(&list);
         // An answer without changes is news as well: the list held is still discovery's.
         let scope = if list.complete { Scope::Full } else { Scope::Delta };
         self.handle.tell(Message::Listed(scope, list.entries));
     }
 
+    /// Tells how many proxies serve this one's services where that has changed, before the list that says so.
+    fn tell_proxies(&mut self, list: &List) {
+        if list.proxies.is_some() {
+            self.newest_view = Some(list.revision);
+        }
+        if self.proxies != list.proxies {
+            self.proxies = list.proxies;
+            self.handle.tell(Message::Fleet(list.proxies));
+        }
+    }
+
     /// The module decides when a service is asked again; an agent is asked again after a short pause.
     async fn after_failure(&mut self, silent: bool) {
         if self.asked.is_none() {
@@ -249,15 +309,39 @@
             Some(connection) => (connection, Duration::ZERO),
             None => (self.dialled(opened + OPEN_WITHIN).await?, Duration::ZERO),
         };
-        let target = match self.revision {
-            None => "/discovery/hosts".to_owned(),
-            Some(after) => format!("/discovery/hosts?after={after}&wait_ms={}", wait.as_millis()),
-        };
+        let target = self.target(wait);
+        let wanted = if self.source.view.is_some() { Wanted::View } else { Wanted::Whole };
         let until = if wait.is_zero() { opened + OPEN_WITHIN } else { Instant::now() + wait + WATCH_GRACE };
-        let body = timeout_at(until, connection.fetch(&target)).await;
+        let body = timeout_at(until, connection.fetch(&target, wanted)).await;
         let body = body.map_err(|_| DiscoveryError::Timeout)??;
         self.connection = Some(connection);
-        self.translator.list(serde_json::from_slice(&body).map_err(DiscoveryError::Malformed)?)
+        let json = serde_json::from_slice(&body).map_err(DiscoveryError::Malformed)?;
+        self.read(RawList::read(json)?)
+    }
+
+    /// What a call asks for: all of the list, or its changes since the version held.
+    fn target(&self, wait: Duration) -> String {
+        let changes = self.revision.map(|after| format!("after={after}&wait_ms={}", wait.as_millis()));
+        let view = self.source.view.as_ref().map(ViewConfig::query);
+        let query: Vec<String> = changes.into_iter().chain(view).collect();
+        if query.is_empty() {
+            return DISCOVERY_PATH.to_owned();
+        }
+        format!("{DISCOVERY_PATH}?{}", query.join("&"))
+    }
+
+    /// Reads a list. What it says of a view counts only where one was asked for.
+    fn read(&mut self, list: RawList) -> Result<List, DiscoveryError> {
+        if self.source.view.is_none() {
+            return Ok(self.translator.translate(list, None));
+        }
+        let proxies = list.proxies()?;
+        match self.newest_view {
+            Some(held) if proxies.is_some() && list.revision < held => {
+                Err(DiscoveryError::Older { held, told: list.revision })
+            }
+            _ => Ok(self.translator.translate(list, proxies)),
+        }
     }
 
     /// How long this watch waits.
@@ -275,7 +359,7 @@
     async fn dialled(&self, until: Instant) -> Result<Connection, DiscoveryError> {
         let agent = Instant::now() + AGENT_DIAL;
         let until = if self.asked.is_some() { until } else { until.min(agent) };
-        let connection = timeout_at(until, Connection::dial(self.address)).await;
+        let connection = timeout_at(until, Connection::dial(self.source.address)).await;
         connection.map_err(|_| DiscoveryError::Timeout)?.ok_or(DiscoveryError::Connection)
     }
 }
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -77,6 +77,8 @@
     Probed(BackendId, Ended),
     /// News of the backends.
     Listed(Scope, Vec<Listed>),
+    /// How many proxies serve the services of this one's view; `None`: all that the settings count.
+    Fleet(Option<u32>),
     /// The operators take a backend out of use (true) or give it back; the word is sent once that is in force.
     Maintenance(BackendId, bool, Option<oneshot::Sender<()>>),
     /// Other settings are in force; the numbers of their classes are sent back.
@@ -97,6 +99,13 @@
 }
 
 impl Handle {
+    /// A way to a driver, and what that driver will be told.
+    #[must_use]
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<Message>) {
+        let (messages, told) = mpsc::unbounded_channel();
+        (Self { messages, next_id: Rc::new(Cell::new(1)) }, told)
+    }
+
     /// Tells the driver something. A driver that has ended ends the process: nobody is left to tell.
     pub fn tell(&self, message: Message) {
         let _ = self.messages.send(message);
@@ -199,8 +208,7 @@
         limits: Limits,
         subscribe: mpsc::UnboundedSender<()>,
     ) -> (Self, Handle) {
-        let (sender, messages) = mpsc::unbounded_channel();
-        let handle = Handle { messages: sender, next_id: Rc::new(Cell::new(1)) };
+        let (handle, messages) = Handle::new();
         let driver = Self {
             balancer,
             clock,
@@ -285,6 +293,7 @@
                 self.pending.push_back(Pending::Probed { backend, ended });
                 self.settle(now);
             }
+            Message::Fleet(proxies) => self.feed(now, Event::Fleet { proxies }),
             Message::Listed(scope, entries) => self.on_list(now, scope, &entries),
             Message::Settings(settings, numbers) => {
                 self.max_attempts = usize::from(settings.permissions.max_attempts);
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -14,6 +14,7 @@
 pub mod pace;
 pub mod program;
 pub mod socket;
+pub mod view;
 
 /// The largest body of a request or an answer that is held whole.
 pub const BODY_CAP: usize = 64 * 1024;
--- a/src/proxy/program.rs
+++ b/src/proxy/program.rs
@@ -6,8 +6,8 @@
 use crate::proxy::bodies::Transfers;
 use crate::proxy::clients::Clients;
 use crate::proxy::clock::Clock;
-use crate::proxy::config::{Config, Names};
-use crate::proxy::discovery::{Numbers, Translator, Watcher};
+use crate::proxy::config::Config;
+use crate::proxy::discovery::{Numbers, Source, Translator, Watcher};
 use crate::proxy::drain::Drain;
 use crate::proxy::driver::{Driver, Handle, Limits, Message};
 use crate::proxy::handover::{self, Bans, Company, Estate, Held, Keeper, Owner, Predecessor};
@@ -62,8 +62,8 @@
     clients: Rc<Clients>,
     fleet: Rc<Fleet>,
     handle: Handle,
-    /// Where discovery listens, and the names in its lists.
-    discovery: watch::Sender<(SocketAddr, Names)>,
+    /// Where lists come from, and what is asked for.
+    discovery: watch::Sender<Source>,
     /// Whose the state is that this process leaves to another.
     owner: Rc<RefCell<Owner>>,
     config: Config,
@@ -81,7 +81,7 @@
         self.owner.replace(Owner::of(&config));
         let report = config.names.report.clone();
         self.fleet.retune(config.dial_timeout, config.settings.permissions.conn_idle, report);
-        self.discovery.send_replace((config.discovery, config.names.clone()));
+        self.discovery.send_replace(Source::of(&config));
         let classes: Vec<_> = config.settings.classes.iter().map(|c| c.name.as_str()).collect();
         log(format_args!("SIGHUP: new configuration in force, classes {}", classes.join(", ")));
         self.config = config;
@@ -145,7 +145,8 @@
     let translator = Translator::new(clock, &config.names, Rc::clone(&numbers));
     let subscriptions = asked.then_some(subscriptions);
     let (told, shared) = (handle.clone(), Rc::clone(&held));
-    let mut watcher = Watcher::new(config.discovery, translator, told, shared, subscriptions, config.seed);
+    let source = Source::of(&config);
+    let mut watcher = Watcher::new(source.clone(), translator, told, shared, subscriptions, config.seed);
     let drain = Drain::new();
     // What the operators have taken out of use is told before any list.
     let operations = (config.admin.is_some() || group.is_some()).then(|| {
@@ -171,7 +172,7 @@
     let company = Company::new(socket, door, estate, both.0, both.1, most);
 
     let mut driver = tokio::task::spawn_local(driver.run());
-    let (discovery, moves) = watch::channel((config.discovery, config.names.clone()));
+    let (discovery, moves) = watch::channel(source);
     match waits {
         None => tokio::task::spawn_local(watcher.run(moves)),
         Some((operations, known)) => tokio::task::spawn_local(async move {
--- a/tests/proxy/agent.rs
+++ b/tests/proxy/agent.rs
@@ -12,6 +12,8 @@
 pub struct Call {
     /// Which of discovery's connections it came on.
     pub connection: usize,
+    /// Its head, as it came.
+    pub head: String,
     /// The version that the caller knows.
     pub after: Option<u64>,
     pub at: Instant,
@@ -51,7 +53,7 @@
                         let number = |rest: &str| rest.split('&').next().and_then(|n| n.parse().ok());
                         let after = seen.first_line().split_once("after=").and_then(|(_, rest)| number(rest));
                         let stream = stream.try_clone().expect("a clone");
-                        let call = Call { connection, after, at: Instant::now(), stream };
+                        let call = Call { connection, head: seen.head, after, at: Instant::now(), stream };
                         if told.send(call).is_err() {
                             return;
                         }
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -9,6 +9,7 @@
 mod restart;
 mod rig;
 mod sizes;
+mod views;
 mod watches;
 
 use bytes::Bytes;
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -295,6 +295,13 @@
     launch_by(shell, name, config)
 }
 
+/// The same with this TOML file beside it.
+pub fn launch_beside(name: &str, config: &str, beside: &str) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_haventrack-proxy"));
+    command.env("GATESTAGE_CONFIG", write_beside(name, beside));
+    launch_by(command, name, config)
+}
+
 fn launch_by(mut command: Command, name: &str, config: &str) -> Child {
     let path = write_config(name, config);
     command.env("EDGE_CONFIG", path).env("TMPDIR", private_dir(name));
@@ -315,6 +322,13 @@
     path
 }
 
+/// Writes the TOML file beside a configuration, or replaces it.
+pub fn write_beside(name: &str, beside: &str) -> PathBuf {
+    let path = env::temp_dir().join(format!("haventrack-{}-{name}.toml", std::process::id()));
+    fs::write(&path, beside).expect("the file beside the configuration is written");
+    path
+}
+
 impl Proxy {
     /// A proxy that is up with these backends.
     pub fn start(name: &str, discovery: &Discovery, members: &[Value]) -> Self {
@@ -333,6 +347,11 @@
         Self::started(launch(name, &config.to_string()), &config)
     }
 
+    /// One with this TOML file beside its configuration.
+    pub fn start_beside(name: &str, config: Value, beside: &str) -> Self {
+        Self::started(launch_beside(name, &config.to_string(), beside), &config)
+    }
+
     /// One that the system lets hold this many descriptors.
     pub fn start_within(descriptors: usize, name: &str, config: Value) -> Self {
         Self::started(launch_within(descriptors, name, &config.to_string()), &config)
