Ask again within 4 s after a refusal of a view or an older list

After such an answer the pauses grew to 60 s, as after a list that is refused for its size. So a proxy that starts before its line stands in the list service's file, or that met an older instance, could hear of the correction a minute late, where changes are to be in force within 4 s. Such an answer costs the service little: its pause ends at 4 s. A list that is too large costs a whole list: its pause still ends at 60 s.

--- a/src/proxy/discovery/error.rs
+++ b/src/proxy/discovery/error.rs
@@ -1,8 +1,10 @@
 //! What can go wrong with a call to discovery, and with an entry of its list.
 
+use super::back_off::{LARGE_LIST_PAUSE_MOST, REFUSAL_PAUSE_MOST};
 use hyper::StatusCode;
 use std::fmt;
 use std::mem::discriminant;
+use std::time::Duration;
 use thiserror::Error;
 
 /// Why a call to discovery brought nothing. The proxy goes on with the list that it has and asks again by itself.
@@ -64,9 +66,13 @@
 }
 
 impl DiscoveryError {
-    /// Whether the next answer will be the same until somebody corrects something.
-    pub(super) fn is_lasting(&self) -> bool {
-        matches!(self, Self::TooLarge { .. } | Self::Refused { .. } | Self::Older { .. })
+    /// The longest pause before the next call, where the answer will be the same until somebody corrects something.
+    pub(super) fn longest_pause(&self) -> Option<Duration> {
+        match self {
+            Self::TooLarge { .. } => Some(LARGE_LIST_PAUSE_MOST),
+            Self::Refused { .. } | Self::Older { .. } => Some(REFUSAL_PAUSE_MOST),
+            _ => None,
+        }
     }
 
     /// Whether both say the same to an operator. A list that is too large may grow meanwhile.
--- a/src/proxy/discovery/mod.rs
+++ b/src/proxy/discovery/mod.rs
@@ -207,14 +207,13 @@
             }
             Err(error) => {
                 (self.due, self.connection) = (false, None);
-                let (silent, lasting) = (matches!(error, DiscoveryError::Timeout), error.is_lasting());
+                let silent = matches!(error, DiscoveryError::Timeout);
+                let longest_pause = error.longest_pause();
                 self.log_once(error);
-                if !lasting {
-                    self.after_failure(silent).await;
-                } else if self.pause_is_over(reloads).await {
-                    self.ask_again(silent);
-                } else {
-                    self.due = true;
+                match longest_pause {
+                    None => self.after_failure(silent).await,
+                    Some(longest) if self.pause_is_over(longest, reloads).await => self.ask_again(silent),
+                    Some(_) => self.due = true,
                 }
             }
         }
@@ -224,7 +223,7 @@
     fn log_once(&mut self, error: DiscoveryError) {
         let is_new = match &self.logged {
             None => true,
-            Some(logged) => error.is_lasting() && !error.is_same_as(logged),
+            Some(logged) => error.longest_pause().is_some() && !error.is_same_as(logged),
         };
         if is_new {
             log(format_args!("discovery: {error}"));
@@ -234,8 +233,8 @@
 
     /// Waits until the service may be asked again after an answer that only somebody's correction will change.
     /// False where a configuration was read since the call began: it may be the correction.
-    async fn pause_is_over(&mut self, reloads: &mut watch::Receiver<Source>) -> bool {
-        let pause = self.back_off.next_pause(&mut self.rng);
+    async fn pause_is_over(&mut self, longest: Duration, reloads: &mut watch::Receiver<Source>) -> bool {
+        let pause = self.back_off.next_pause(longest, &mut self.rng);
         tokio::select! {
             biased;
             Ok(()) = reloads.changed() => false,
