Answer a watch whole where a change that it missed is no longer kept

A change of the file is kept entry by entry. With fewer entries kept (`keep_changes`) than one change has, the list service dropped some of them and still answered a watch from just before with the rest, `complete: false`: the proxy never heard of the others. The store now keeps the last revision of which an entry was dropped, and a watch from before it gets the whole list.

--- a/src/registry/store.rs
+++ b/src/registry/store.rs
@@ -48,6 +48,8 @@
     members: BTreeMap<String, Member>,
     /// Changes in order: the revision each was made at and the entry as it was told.
     changes: VecDeque<(u64, Member)>,
+    /// The last revision of which a change is no longer kept.
+    compacted: u64,
     /// The most changes kept.
     keep: usize,
 }
@@ -55,7 +57,13 @@
 impl Store {
     /// An empty store at revision 0 that keeps up to `keep` changes (at least one).
     pub fn new(keep: usize) -> Self {
-        Self { revision: 0, members: BTreeMap::new(), changes: VecDeque::new(), keep: keep.max(1) }
+        Self {
+            revision: 0,
+            members: BTreeMap::new(),
+            changes: VecDeque::new(),
+            compacted: 0,
+            keep: keep.max(1),
+        }
     }
 
     /// The revision in force.
@@ -88,7 +96,7 @@
             self.changes.push_back((next, member));
         }
         while self.changes.len() > self.keep {
-            self.changes.pop_front();
+            self.compacted = self.changes.pop_front().map_or(self.compacted, |(revision, _)| revision);
         }
         Some(next)
     }
@@ -96,8 +104,7 @@
     /// The answer to `GET /discovery/hosts?after=AFTER`: the entries changed since `after`, or the whole list
     /// with `complete: true` when `after` is 0, newer than the revision in force, or older than the changes kept.
     pub fn since(&self, after: u64) -> Value {
-        let oldest_told = self.changes.front().map_or(self.revision, |(revision, _)| revision - 1);
-        let whole = after == 0 || after > self.revision || after < oldest_told;
+        let whole = after == 0 || after > self.revision || after < self.compacted;
         let members: Vec<&Member> = if whole {
             self.members.values().collect()
         } else {
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -45,6 +45,20 @@
     assert_eq!(told["members"][0]["id"], "s-3");
 }
 
+#[test]
+fn a_revision_of_which_a_change_is_no_longer_kept_is_not_told_in_part() {
+    let file =
+        |phase: &str| format!("{LISTEN}keep_changes = 1\n{}{}", member("s-1", phase), member("s-2", phase));
+    let registry = Registry::start("part", &file("active"));
+    registry.take(&file("leaving"), 2);
+    let (_, told) = registry.get("?after=1&wait_ms=100");
+    assert_eq!(
+        (&told["complete"], told["members"].as_array().map(Vec::len)),
+        (&true.into(), Some(2)),
+        "{told}"
+    );
+}
+
 #[test]
 fn bad_calls_get_their_reason_and_the_service_goes_on() {
     let registry = Registry::start("bad", &format!("{LISTEN}{}", member("s-1", "active")));
