Give proxies their views: only their services' members, of a large service a subset

A list of 87,000 members is far more than a proxy needs or can hold connections to, and each change woke every proxy. The list service's file may now have `[[service]]`, `[[proxy]]` and a `revision` of its own; a call with `proxy` and `service` is answered with the proxy's view. Without them every answer is as it was.

- subset.rs chooses the senders of each member by rendezvous hashing, most in its own zone, at least MIN_SENDERS; whole cells with `keep_cells`; joining and leaving proxies make-before-break.
It is a pure function.
- list.rs is a list with its last changes; the whole list and each proxy's part of a service are such lists.
- service.rs and views.rs make the lists of a file and those that follow them; a service whose members and proxies stay the same is not computed again.
SIGHUP's work is done beside the thread that answers.
- watchers.rs wakes only the watches of the proxies whose views changed.
- config.rs, name.rs and query.rs check the file and the calls, with typed errors that say which line or name to correct.
A file with other contents and no greater `revision` changes nothing.
- Each entry's JSON is written once, when its member or its senders change.

--- a/src/bin/gatestage.rs
+++ b/src/bin/gatestage.rs
@@ -35,9 +35,11 @@
         #[arg(long)]
         schedule: Option<PathBuf>,
     },
-    /// Runs the list service: the platform's list and watch from the members of a TOML file; SIGHUP reads it again.
+    /// Runs the list service: the platform's list and watch, and each proxy's view, from a TOML file; SIGHUP reads it
+    /// again.
     Registry {
-        /// The configuration: `listen`, `keep_changes`, and `[[member]]` tables.
+        /// The configuration: `listen`, `keep_changes`, `revision`, and `[[service]]`, `[[proxy]]` and `[[member]]`
+        /// tables.
         #[arg(long)]
         config: PathBuf,
     },
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -1,101 +1,74 @@
 //! `gatestage registry`: the project's own list service. It serves the platform's list and watch exactly
 //! (`PROTOCOL`, "Discovery": `GET /discovery/hosts`, `?after=REV&wait_ms=MS`, `revision`, `complete`, `members`)
-//! from a [`Store`] whose revision only grows.
+//! from a [`Store`] whose revision only grows, and, to proxies that ask with `proxy` and `service`, their views:
+//! only the members of these services, and of a large service a subset ([`subset`]).
 //!
-//! Its one face is [`serve`]. This first part is one instance; its members come from a TOML file that SIGHUP
-//! reads again, whole or not at all. Replication, health probes and the operators' calls come next
-//! (`docs/ROADMAP.md`).
+//! Its one face is [`serve`]. This part is one instance; its file is TOML that SIGHUP reads again, whole or not at
+//! all ([`Config`]). Instances with the same file answer the same. Replication, health probes and the operators'
+//! calls come next (`docs/ROADMAP.md`).
 
+mod config;
+mod contents;
+mod entry;
 mod error;
+mod list;
+mod name;
+mod query;
+mod service;
 mod store;
+pub mod subset;
+mod views;
+mod watchers;
 
-pub use error::{QueryError, RegistryError};
-pub use store::{Member, Store};
+pub use config::{Config, Member, Proxy, ProxyPhase, Service};
+pub use entry::{Answer, Entry, Senders};
+pub use error::{Kind, QueryError, RegistryError, ViewError};
+pub use name::{LONGEST_NAME, Name, NameError, SelectionError, ServiceSelection};
+pub use query::{LONGEST_WAIT_MS, Query, Scope, ViewScope};
+pub use store::{News, Store};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
 use std::convert::Infallible;
 use std::io;
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, PoisonError};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use watchers::Watchers;
 
-/// The longest a watch waits, in milliseconds; longer `wait_ms` are cut to it, as the protocol says.
-pub const LONGEST_WAIT_MS: u64 = 60_000;
 /// The largest body a call may carry, in bytes, as the protocol's messages.
 pub const BODY_CAP: usize = 64 * 1024;
-
-/// The registry's configuration file.
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Config {
-    /// Where it listens, `host:port`.
-    pub listen: SocketAddr,
-    /// How many changes are kept for watches; a watch from before them gets the whole list. Default 10,000.
-    #[serde(default = "keep")]
-    pub keep_changes: usize,
-    /// The members.
-    #[serde(default, rename = "member")]
-    pub members: Vec<Member>,
-}
-
-fn keep() -> usize {
-    10_000
-}
-
-impl Config {
-    /// Reads and checks the file.
-    ///
-    /// # Errors
-    /// A file that can't be read, is not TOML of this shape (the message names line and column), or names one
-    /// member twice or with a phase other than `active` or `leaving`.
-    pub fn from_file(path: &Path) -> Result<Self, RegistryError> {
-        let here = || path.to_path_buf();
-        let text = std::fs::read_to_string(path)
-            .map_err(|source| RegistryError::Unreadable { path: here(), source })?;
-        let config: Self = toml::from_str(&text)
-            .map_err(|source| RegistryError::Shape { path: here(), source: Box::new(source) })?;
-        let mut seen = std::collections::BTreeSet::new();
-        for member in &config.members {
-            if !seen.insert(&member.id) {
-                return Err(RegistryError::Twice { path: here(), member: member.id.clone() });
-            }
-            if !matches!(member.phase.as_str(), "active" | "leaving") {
-                let (member, phase) = (member.id.clone(), member.phase.clone());
-                return Err(RegistryError::Phase { path: here(), member, phase });
-            }
-        }
-        Ok(config)
-    }
-}
+/// The one call.
+const LIST_PATH: &str = "/discovery/hosts";
 
 /// What every call shares.
 struct Shared {
-    store: Mutex<Store>,
-    revision: watch::Sender<u64>,
+    store: Mutex<Arc<Store>>,
+    watchers: Watchers,
 }
 
 impl Shared {
-    fn store(&self) -> std::sync::MutexGuard<'_, Store> {
-        self.store.lock().unwrap_or_else(|e| e.into_inner())
+    /// The store in force.
+    fn store(&self) -> Arc<Store> {
+        Arc::clone(&self.store.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Takes these members, tells the watches if that is a change.
-    fn replace(&self, members: Vec<Member>) {
-        let changed = self.store().replace(members);
-        if let Some(revision) = changed {
-            self.revision.send_replace(revision);
-        }
+    /// Puts a store in force and tells the watches that it is news for.
+    fn take(&self, store: Store, news: &News) {
+        let store = Arc::new(store);
+        let mut held = self.store.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = std::mem::replace(&mut *held, Arc::clone(&store));
+        drop(held);
+        // Freeing what large lists held takes time that the answers need.
+        tokio::task::spawn_blocking(move || drop(before));
+        self.watchers.wake(news, &store);
     }
 }
 
@@ -119,9 +92,8 @@
     let refused = |source| RegistryError::Listen { address, source };
     let listener = TcpListener::bind(address).await.map_err(refused)?;
     let address = listener.local_addr().map_err(refused)?;
-    let (revision, _) = watch::channel(0);
-    let shared = Arc::new(Shared { store: Mutex::new(Store::new(config.keep_changes)), revision });
-    shared.replace(config.members);
+    let store = Mutex::new(Arc::new(Store::new(config)));
+    let shared = Arc::new(Shared { store, watchers: Watchers::default() });
     // Whoever reads that it listens may send a signal at once.
     let mut hang_up = signal(SignalKind::hangup()).map_err(lacks("SIGHUP"))?;
     let mut stop = signal(SignalKind::terminate()).map_err(lacks("SIGTERM"))?;
@@ -129,11 +101,8 @@
     tokio::spawn(accept(listener, Arc::clone(&shared)));
     loop {
         tokio::select! {
-            Some(()) = hang_up.recv() => match Config::from_file(&path) {
-                Ok(config) => {
-                    shared.replace(config.members);
-                    eprintln!("SIGHUP: members taken, revision {}", shared.store().revision());
-                }
+            Some(()) = hang_up.recv() => match read_again(&shared, &path).await {
+                Ok(()) => eprintln!("SIGHUP: members taken, revision {}", shared.store().revision()),
                 Err(error) => eprintln!("SIGHUP changes nothing: {error}"),
             },
             _ = stop.recv() => return Ok(()),
@@ -141,6 +110,17 @@
     }
 }
 
+/// Reads the file and takes what it changes. The work is done beside the thread that answers.
+async fn read_again(shared: &Shared, path: &Path) -> Result<(), RegistryError> {
+    let (held, path) = (shared.store(), path.to_path_buf());
+    let next = move || held.next(Config::from_file(&path)?, &path);
+    let next = tokio::task::spawn_blocking(next).await;
+    if let Some((store, news)) = next.map_err(io::Error::other).map_err(lacks("thread"))?? {
+        shared.take(store, &news);
+    }
+    Ok(())
+}
+
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
@@ -152,28 +132,12 @@
     }
 }
 
-/// `after` and `wait_ms` of a watch; an error names the parameter that is no whole number.
-fn query(text: Option<&str>) -> Result<(u64, u64), QueryError> {
-    let (mut after, mut wait) = (0, 0);
-    for pair in text.unwrap_or_default().split('&').filter(|p| !p.is_empty()) {
-        let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
-        let wrong = || QueryError { name: name.to_owned(), value: value.to_owned() };
-        let number = || value.parse::<u64>().map_err(|_| wrong());
-        match name {
-            "after" => after = number()?,
-            "wait_ms" => wait = number()?,
-            _ => {}
-        }
-    }
-    Ok((after, wait.min(LONGEST_WAIT_MS)))
-}
-
 fn respond(status: StatusCode, body: String) -> Result<Response<Full<Bytes>>, Infallible> {
     let mut response = Response::new(Full::new(Bytes::from(body)));
     *response.status_mut() = status;
     let json = status == StatusCode::OK;
     let kind = if json { "application/json" } else { "text/plain" };
-    response.headers_mut().insert(hyper::header::CONTENT_TYPE, hyper::header::HeaderValue::from_static(kind));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
     Ok(response)
 }
 
@@ -185,21 +149,29 @@
     if Limited::new(body, BODY_CAP).collect().await.is_err() {
         return respond(StatusCode::PAYLOAD_TOO_LARGE, format!("a body holds {BODY_CAP} bytes at most"));
     }
-    if head.uri.path() != "/discovery/hosts" {
+    if head.uri.path() != LIST_PATH {
         return respond(StatusCode::NOT_FOUND, format!("no call {}", head.uri.path()));
     }
     if head.method != Method::GET {
         return respond(StatusCode::METHOD_NOT_ALLOWED, "the list is read with GET".to_owned());
     }
-    let (after, wait_ms) = match query(head.uri.query()) {
-        Ok(asked) => asked,
+    let query = match Query::parse(head.uri.query().unwrap_or_default()) {
+        Ok(query) => query,
         Err(reason) => return respond(StatusCode::BAD_REQUEST, reason.to_string()),
     };
-    if after > 0 && wait_ms > 0 {
-        let mut revision = shared.revision.subscribe();
-        let newer = revision.wait_for(|&now| now > after);
-        let _ = tokio::time::timeout(Duration::from_millis(wait_ms), newer).await;
+    wait_for_news(&shared, &query).await;
+    match shared.store().answer(&query.scope, query.after) {
+        Ok(answer) => respond(StatusCode::OK, answer.to_json()),
+        Err(reason) => respond(StatusCode::NOT_FOUND, reason.to_string()),
+    }
+}
+
+/// Waits as long as the watch asks for, or until what it asks for has changed.
+async fn wait_for_news(shared: &Shared, query: &Query) {
+    let has_news = || shared.store().has_news(&query.scope, query.after);
+    if query.after == 0 || query.wait.is_zero() || has_news() {
+        return;
     }
-    let body = shared.store().since(after).to_string();
-    respond(StatusCode::OK, body)
+    let mut changes = shared.watchers.subscribe(&query.scope);
+    let _ = tokio::time::timeout(query.wait, changes.wait_for(|()| has_news())).await;
 }
--- a/src/rig/mod.rs
+++ b/src/rig/mod.rs
@@ -129,6 +129,7 @@
         let shared = links.address(0, End::Backend(n)).filter(|_| !scenario.pair_relays);
         Member {
             id: End::Backend(n).to_string(),
+            service: None,
             host_port: shared.unwrap_or(backends[n].address).to_string(),
             locality: zone.clone(),
             flavor: "m".to_owned(),
