Count a server's own senders where a proxy's list is a subset

The module took `settings.balancers` for the number of proxies that share every server. Where lists are subsets a server has other, mostly far fewer senders, and a list may name servers of both sorts.

- `share` and `cold_share` come from a server's `senders` where it has some.
This proxy is always one of them; where no sender is local the far ones have the whole cold budget.
- When `senders` change the limit is scaled with the share, so one within its bounds stays within the new ones (and one that a report set below them stays that part of its kind's); a cold server's tokens are counted at the old rate up to then.
An entry that may not be sent to has no senders: the old ones hold until it is back.
- What a warm server takes is this proxy's best rate over its parts of the servers of the kind.
The cold server's own number of senders times the rate for each server would do only if all of them had equally many.
- A tenant's share is divided by `Event::Fleet`'s number, where it is told.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -8,7 +8,8 @@
 
 use crate::api::{
     Action, Backend, BackendId, Class, ClassNumber, DedupGroup, Effect, Event, Learnt, LearntKind,
-    Membership, Micros, Outcome, Readiness, Request, RequestId, Settings, SettingsError, Settled, Tenant,
+    Membership, Micros, Outcome, Readiness, Request, RequestId, Senders, Settings, SettingsError, Settled,
+    Tenant,
 };
 use crate::state::{
     Attempt, AttemptState, Bucket, ColdBudget, CommonLimit, Latency, Open, PeakRate, Pool, Requests, Scope,
@@ -109,6 +110,37 @@
 const TIMER_SUBSCRIBE: u32 = 1;
 
 impl Server {
+    /// The proxies that may send to it: those of its zone, and of all zones. This one is among them, whatever
+    /// the count says.
+    fn senders(&self, settings: &Settings) -> (f64, f64) {
+        let Some(Senders { local, all }) = self.senders else {
+            let all = f64::from(settings.balancers);
+            return ((all / f64::from(settings.zones)).max(1.0), all);
+        };
+        let is_local = self.zone == settings.zone;
+        let local = f64::from(local.max(u32::from(is_local)));
+        let others = f64::from(u8::from(!is_local));
+        (local, f64::from(all).max(local + others))
+    }
+
+    /// This proxy's part of it: the inverse of how many proxies use it. Departure: bounds and steps of a
+    /// limit are the server's, not the proxy's, so that the admitted sum does not grow with the bank.
+    fn share(&self, settings: &Settings) -> f64 {
+        let (local, all) = self.senders(settings);
+        1.0 / if self.zone == settings.zone { local } else { all }
+    }
+
+    /// This proxy's part of its budget while it is cold: those of all proxies add up to 1.
+    fn cold_share(&self, settings: &Settings) -> f64 {
+        let (local, all) = self.senders(settings);
+        match all - local {
+            far if far < 1.0 => 1.0 / local,
+            _ if self.zone == settings.zone => (1.0 - FAR_PART) / local,
+            far if local < 1.0 => 1.0 / far,
+            far => FAR_PART / far,
+        }
+    }
+
     /// The whole-number limit. Departure: below 1 (many proxies, small servers) the dither decides which
     /// proxies hold a slot, so that the admitted sum does not grow with their number.
     fn slots(&self, part: f64) -> i64 {
@@ -154,6 +186,8 @@
     fresh_at: Micros,
     /// The processes that serve in this proxy's place: to the rules they are one proxy.
     processes: u32,
+    /// The proxies that serve what this one serves; `None`: all that the settings count.
+    fleet: Option<u32>,
     /// The limits that another process had, for servers that are not listed yet.
     recalled: FxHashMap<BackendId, f64>,
 }
@@ -168,9 +202,9 @@
         let kinds = usize::from(settings.kinds).max(1);
         let latencies = settings.classes.iter().flat_map(|c| vec![Latency::expected(c); kinds]).collect();
         let window = Window { since: now, ..Window::default() };
-        let served = PeakRate { count: 0.0, most: 0, since: now, peak: 0.0, from: 0 };
+        let served = PeakRate { count: 0.0, most: 0.0, since: now, peak: 0.0, from: 0.0 };
         let common =
-            CommonLimit { limit: INITIAL_LIMIT, growing: true, window, service: 0.0, served, ready: 0 };
+            CommonLimit { limit: INITIAL_LIMIT, growing: true, window, service: 0.0, served, ready: 0.0 };
         let tenants = settings.tenants.iter().map(|t| Bucket::new(now, t, settings.balancers)).collect();
         Ok(Self {
             in_use: (0..settings.classes.len() as ClassNumber).collect(),
@@ -191,6 +225,7 @@
             subscribe_failures: 0,
             fresh_at: now,
             processes: 1,
+            fleet: None,
             recalled: FxHashMap::default(),
             settings,
         })
@@ -216,7 +251,7 @@
             Event::Maintenance { backend, out: away } => self.on_maintenance(now, backend, away, out),
             Event::Settings(settings) => self.on_settings(now, settings, out),
             Event::Company { processes } => self.processes = processes.max(1),
-            Event::Fleet { .. } => {}
+            Event::Fleet { proxies } => self.fleet = proxies,
             Event::Probed { .. } => {}
             Event::Timer(token) => self.on_timer(now, token, out),
         }
@@ -296,7 +331,7 @@
         let mut settings = new.clone();
         settings.kinds = new.kinds.max(self.settings.kinds);
         let mut common = self.kinds[0].clone();
-        (common.limit, common.growing, common.ready) = (INITIAL_LIMIT, true, 0);
+        (common.limit, common.growing, common.ready) = (INITIAL_LIMIT, true, 0.0);
         self.kinds.resize(usize::from(settings.kinds).max(1), common);
         let mut classes = std::mem::take(&mut self.settings.classes);
         let kinds = self.kinds.len();
@@ -316,11 +351,13 @@
             self.in_use.push(number as ClassNumber);
         }
         settings.classes = classes;
+        let fleet = self.fleet.unwrap_or(settings.balancers).max(1);
         let spare = settings.tenants.iter().skip(self.tenants.len());
-        self.tenants.extend(spare.map(|t| Bucket::new(now, t, settings.balancers)));
+        self.tenants.extend(spare.map(|t| Bucket::new(now, t, fleet)));
         self.tenants.truncate(settings.tenants.len());
         (self.latencies, self.settings) = (latencies, settings);
         self.pool.judged_at = None;
+        self.count_alike();
         self.serve_held(now, out);
     }
 
@@ -385,18 +422,38 @@
         let usable = |&s: &usize| servers[s].ready && !banned.contains(&servers[s].id);
         self.ready.clear();
         self.ready.extend((0..servers.len()).filter(usable));
+        self.count_alike();
+        self.place_dithers();
+        self.serve_held(now, out);
+    }
+
+    /// Counts the ready servers of each kind. Those whose senders are known count by this proxy's part of
+    /// them: of the senders, or of the cold budgets where that is more, as where nearly all senders are far
+    /// ones, which send little.
+    fn count_alike(&mut self) {
+        let balancers = f64::from(self.settings.balancers);
         for (kind, common) in self.kinds.iter_mut().enumerate() {
-            let alike = |&&s: &&usize| usize::from(self.servers[s].kind) == kind;
-            common.ready = self.ready.iter().filter(alike).count();
+            let (mut all, mut subsets, mut budgets) = (0.0, 0.0, 0.0);
+            let servers = self.ready.iter().map(|&s| &self.servers[s]);
+            for server in servers.filter(|s| usize::from(s.kind) == kind) {
+                if server.senders.is_none() {
+                    all += 1.0;
+                    continue;
+                }
+                subsets += balancers / server.senders(&self.settings).1;
+                budgets += balancers * server.cold_share(&self.settings);
+            }
+            common.ready = all + f64::max(subsets, budgets);
             // What another process served came from the first list: that one had it as well.
-            common.served.from = if common.served.from == 0 { common.ready } else { common.served.from };
+            common.served.from = if common.served.from == 0.0 { common.ready } else { common.served.from };
         }
-        self.place_dithers();
-        self.serve_held(now, out);
     }
 
     /// Spaces a proxy's dithers evenly over the servers of a zone and kind, and the proxies' evenly over each
-    /// server. Drawn by chance for each server they left some proxies without a slot for good.
+    /// server. Drawn by chance for each server they left some proxies without a slot for good. Where lists
+    /// are subsets, a server's senders are as if drawn by chance, and no proxy knows the others: each still
+    /// holds slots on evenly many servers, but how many hold one on a server varies (standard deviation:
+    /// half the root of its senders' number at the most).
     fn place_dithers(&mut self) {
         let (servers, me) = (&mut self.servers, f64::from(self.settings.me));
         let group = |s: &Server| (s.zone, s.kind);
@@ -444,6 +501,7 @@
                     zone: entry.zone,
                     kind,
                     cell: entry.cell,
+                    senders: entry.senders,
                     started: entry.started,
                     silent_since: now,
                     part: (1.0, now),
@@ -453,7 +511,7 @@
                 let index = self.servers.len() - 1;
                 self.restarted(now, index);
                 if let Some(limit) = self.recalled.remove(&entry.id) {
-                    let share = self.share(&self.servers[index]);
+                    let share = self.servers[index].share(&self.settings);
                     let server = &mut self.servers[index];
                     server.limit = limit.clamp(MIN_LIMIT * share, MAX_LIMIT * share);
                     server.probing = false;
@@ -461,6 +519,10 @@
                 index
             }
         };
+        // An entry that may not be sent to has no senders; the old ones count until its last answer.
+        if self.servers[index].senders != entry.senders && (ready || entry.senders.is_some()) {
+            self.take_senders(now, index, entry.senders);
+        }
         let server = &mut self.servers[index];
         server.ready = ready;
         if server.started != entry.started {
@@ -469,10 +531,26 @@
         }
     }
 
+    /// A server has other senders. Its limit stays the same part of what all of them may have there: one kept
+    /// as it was would let them together pass its bounds by as much as their number grew, until windows turn
+    /// bad. A cold server's tokens came at the old rate until now.
+    fn take_senders(&mut self, now: Micros, index: usize, senders: Option<Senders>) {
+        let server = &self.servers[index];
+        let old_share = server.share(&self.settings);
+        let tokens = server.cold.map(|cold| self.cold_tokens(now, server, &cold));
+        self.servers[index].senders = senders;
+        let share = self.servers[index].share(&self.settings);
+        let server = &mut self.servers[index];
+        server.limit *= share / old_share;
+        if let (Some(cold), Some(tokens)) = (server.cold.as_mut(), tokens) {
+            (cold.tokens, cold.filled_at) = (tokens, now);
+        }
+    }
+
     /// A server's process is new: what was known of the old one counts no more.
     fn restarted(&mut self, now: Micros, index: usize) {
         let kind = usize::from(self.servers[index].kind);
-        let limit = self.kinds[kind].limit * self.share(&self.servers[index]);
+        let limit = self.kinds[kind].limit * self.servers[index].share(&self.settings);
         let tokens = self.rng.f64();
         let server = &mut self.servers[index];
         server.limit = limit;
@@ -489,19 +567,6 @@
         server.cold = started.map(|started| ColdBudget { started, tokens, filled_at: now });
     }
 
-    /// This proxy's part of a server: the inverse of how many proxies use it. Departure: bounds and steps
-    /// of a limit are the server's, not the proxy's, so that the admitted sum does not grow with the bank.
-    fn share(&self, server: &Server) -> f64 {
-        let (local, all) = self.proxies();
-        1.0 / if server.zone == self.settings.zone { local } else { all }
-    }
-
-    /// The proxies of a zone, and of all zones.
-    fn proxies(&self) -> (f64, f64) {
-        let all = f64::from(self.settings.balancers);
-        ((all / f64::from(self.settings.zones)).max(1.0), all)
-    }
-
     // ---- Requests ----
 
     fn on_request(&mut self, now: Micros, request: Request, out: &mut Vec<Action>) {
@@ -548,13 +613,12 @@
     }
 
     /// Whether a tenant is beyond its share; a request within it takes a token. A proxy knows only its own
-    /// part of the traffic, and that is more than one in `balancers` where others died: a tenant without a
-    /// token is over its share only if it also asks for more of its allowance here than the tenants do on
-    /// the whole.
+    /// part of the traffic, and that is more than an even one where others died: a tenant without a token is
+    /// over its share only if it also asks for more of its allowance here than the tenants do on the whole.
     fn over_share(&mut self, now: Micros, tenant: usize) -> bool {
         let allowance = |tenant: usize| self.settings.tenants[tenant].allowance_per_s;
         let Some(bucket) = self.tenants.get_mut(tenant) else { return false };
-        let rate = allowance(tenant) / f64::from(self.settings.balancers);
+        let rate = allowance(tenant) / f64::from(self.fleet.unwrap_or(self.settings.balancers).max(1));
         if bucket.take(now, rate, rate.max(1.0)) {
             return false;
         }
@@ -811,35 +875,27 @@
     }
 
     /// The tokens that a cold server's budget holds now. Its capacity is judged from what a warm server of
-    /// its kind takes: the best seconds of this proxy, for all proxies, over all servers of the kind.
+    /// its kind takes: the best seconds of this proxy, over its parts of all servers of the kind. (Its own
+    /// part of the cold one says nothing of the rate: others of the kind may have far fewer senders.)
     fn cold_tokens(&self, now: Micros, server: &Server, cold: &ColdBudget) -> f64 {
         let safety = &self.settings.safety;
         let age = now.saturating_sub(cold.started) as f64 / safety.cold_time.max(1) as f64;
         let part = safety.cold_from + (1.0 - safety.cold_from) * age.min(1.0);
         let kind = usize::from(server.kind);
-        let (served, alike) = (&self.kinds[kind].served, self.kinds[kind].ready.max(1));
+        let CommonLimit { served, ready, .. } = &self.kinds[kind];
         // Where over half have left it is no measure of the few; up to there the margin covers it.
-        let bank = served.peak * f64::from(self.settings.balancers) / alike.max(served.from / 2) as f64;
+        let alike = if *ready > 0.0 { *ready } else { 1.0 };
+        let bank = served.peak * f64::from(self.settings.balancers) / alike.max((served.from / 2.0).floor());
         // Each class counts as often as its answers came.
         let weight = |l: &Latency| f64::from(l.count.max(1));
         let classes = self.latencies.iter().skip(kind).step_by(self.kinds.len());
         let (sum, count) = classes.fold((0.0, 0.0), |(sum, n), l| (sum + l.mean * weight(l), n + weight(l)));
         let single = SECOND as f64 * count / sum;
-        let share = self.cold_share(server) / f64::from(self.processes);
+        let share = server.cold_share(&self.settings) / f64::from(self.processes);
         let rate = (safety.fall_multiple * COLD_MARGIN).min(1.0) * part * bank.max(single) * share;
         (cold.tokens + rate * (now - cold.filled_at) as f64 / SECOND as f64).min(1.0_f64.max(rate / 4.0))
     }
 
-    /// This proxy's part of a cold server's budget: those of all proxies add up to 1.
-    fn cold_share(&self, server: &Server) -> f64 {
-        let (local, all) = self.proxies();
-        match all - local {
-            far if far < 1.0 => 1.0 / local,
-            _ if server.zone == self.settings.zone => (1.0 - FAR_PART) / local,
-            far => FAR_PART / far,
-        }
-    }
-
     /// The only place where an attempt starts. `pick` has made sure that the server may have it.
     fn send(&mut self, now: Micros, slot: usize, index: usize, out: &mut Vec<Action>) {
         self.unhold(slot);
@@ -1045,7 +1101,7 @@
     fn follow_report(&mut self, now: Micros, index: usize, report: &[f32]) {
         let told = self.settings.report.avg_ms.and_then(|i| report.get(i)).map(|&ms| f64::from(ms));
         let Some(told) = told.filter(|ms| ms.is_finite() && *ms > 0.0) else { return };
-        let share = self.share(&self.servers[index]);
+        let share = self.servers[index].share(&self.settings);
         let server = &mut self.servers[index];
         let common = &mut self.kinds[usize::from(server.kind)];
         let usual = if common.service > 0.0 { common.service } else { told };
@@ -1077,7 +1133,7 @@
         let limit = common.limit;
         common.window = Window { since: now, ..Window::default() };
         for i in 0..self.servers.len() {
-            let share = self.share(&self.servers[i]);
+            let share = self.servers[i].share(&self.settings);
             let server = &mut self.servers[i];
             let unsampled = server.probing
                 || (server.slots(self.pool.spread) == 0 && now > server.window.since + UNSAMPLED_AFTER);
@@ -1092,7 +1148,7 @@
 
     /// The AIMD step. Departure: a window stays open until it has enough samples, up to an age cap.
     fn judge_window(&mut self, now: Micros, index: usize, sample: f64) {
-        let share = self.share(&self.servers[index]);
+        let share = self.servers[index].share(&self.settings);
         let server = &mut self.servers[index];
         let window = &mut server.window;
         window.add(sample);
@@ -1188,14 +1244,14 @@
 }
 
 impl PeakRate {
-    fn add(&mut self, now: Micros, servers: usize) {
+    fn add(&mut self, now: Micros, servers: f64) {
         self.count += 1.0;
         self.most = self.most.max(servers);
         let span = (now - self.since) as f64 / 1e6;
         if span >= 4.0 {
             let (rate, faded) = (self.count / span, self.peak * 0.95);
             (self.peak, self.from) = if rate > faded { (rate, self.most) } else { (faded, self.from) };
-            (self.count, self.since, self.most) = (0.0, now, 0);
+            (self.count, self.since, self.most) = (0.0, now, 0.0);
         }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a balancer remembers: plain data for `balancer.rs`, where everything is decided.
 
-use crate::api::{BackendId, Micros, RequestId};
+use crate::api::{BackendId, Micros, RequestId, Senders};
 use rustc_hash::FxHashMap;
 
 /// The samples of one server since its limit was last judged.
@@ -30,6 +30,8 @@
     pub(crate) zone: u16,
     pub(crate) kind: u8,
     pub(crate) cell: u16,
+    /// The proxies that may send to it; `None`: all that the settings count.
+    pub(crate) senders: Option<Senders>,
     pub(crate) ready: bool,
     pub(crate) started: Option<Micros>,
     /// When the operators gave it back, perhaps restarted.
@@ -140,8 +142,9 @@
     pub(crate) window: Window,
     /// Requests served a second by all of its servers.
     pub(crate) served: PeakRate,
-    /// Its servers that may be sent to.
-    pub(crate) ready: usize,
+    /// Its servers that may be sent to, in servers that all of the settings' proxies share: one with fewer senders
+    /// counts for more.
+    pub(crate) ready: f64,
 }
 
 /// Latencies of a class on one kind of machine.
@@ -165,9 +168,10 @@
     pub(crate) since: Micros,
     pub(crate) peak: f64,
     /// The servers that these events come from, the most at once, and those that the peak came from (0: not
-    /// known). Where most of them have left, the peak is no measure of the few that are listed.
-    pub(crate) most: usize,
-    pub(crate) from: usize,
+    /// known), both counted as in [`CommonLimit::ready`]. Where most of them have left, the peak is no measure of
+    /// the few that are listed.
+    pub(crate) most: f64,
+    pub(crate) from: f64,
 }
 
 /// The requests that this proxy took, each at a place that stays the same; places are used again.
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -34,6 +34,11 @@
         server: usize,
     },
     Killed(usize),
+    /// A proxy is told another list, by its place among the new ones.
+    View {
+        proxy: usize,
+        list: usize,
+    },
 }
 
 /// A server as it is, whatever the proxies know.
@@ -59,6 +64,34 @@
     load: f64,
     /// The proxies' traffic differs by up to this factor.
     uneven: f64,
+    /// Which proxies' lists name a server; `None`: all do, and nobody is told their number.
+    views: Option<Views>,
+}
+
+/// Each server is held by some proxies of its zone and some of the others.
+#[derive(Clone)]
+struct Views {
+    near: usize,
+    far: usize,
+    /// The proxies that may be chosen.
+    proxies: std::ops::Range<usize>,
+    /// The last servers, so many, belong to a service without subsets: all of these proxies hold them.
+    whole: u32,
+}
+
+impl Views {
+    /// The proxies that hold a server, among so many zones: the first in an order that is the server's own.
+    fn holders(&self, server: BackendId, servers: u32, zones: usize) -> Vec<usize> {
+        if server + self.whole >= servers {
+            return self.proxies.clone().collect();
+        }
+        let order = |proxy: &usize| fastrand::Rng::with_seed(u64::from(server) << 32 | *proxy as u64).u64(..);
+        let mut proxies: Vec<usize> = self.proxies.clone().collect();
+        proxies.sort_by_key(order);
+        let zone = server as usize % zones;
+        let (near, far): (Vec<_>, Vec<_>) = proxies.into_iter().partition(|proxy| proxy % zones == zone);
+        near.into_iter().take(self.near).chain(far.into_iter().take(self.far)).collect()
+    }
 }
 
 impl Plan {
@@ -66,7 +99,15 @@
         let mut settings = settings();
         (settings.balancers, settings.zones) = (balancers, 2);
         settings.permissions.retry_after = None;
-        Self { settings, servers, cores: 2.0, classes: vec![(60 * MS, 1.0)], load: 0.6, uneven: 1.0 }
+        Self {
+            settings,
+            servers,
+            cores: 2.0,
+            classes: vec![(60 * MS, 1.0)],
+            load: 0.6,
+            uneven: 1.0,
+            views: None,
+        }
     }
 
     fn mean_work(&self) -> f64 {
@@ -87,6 +128,10 @@
     lives: Vec<u32>,
     /// Which start of each server a proxy knows.
     knows: Vec<Vec<Option<Micros>>>,
+    /// The servers that a proxy's list names, and what it says of each of them.
+    lists: Vec<BTreeMap<BackendId, Option<Senders>>>,
+    /// Lists that are yet to be told.
+    new_lists: Vec<BTreeMap<BackendId, Option<Senders>>>,
     weights: Vec<f64>,
     machines: Vec<Machine>,
     due: BTreeMap<(Micros, u64), Due>,
@@ -118,6 +163,8 @@
             proxies: Vec::new(),
             lives: vec![0; count],
             knows: vec![Vec::new(); count],
+            lists: Vec::new(),
+            new_lists: Vec::new(),
             weights,
             machines,
             due: BTreeMap::new(),
@@ -127,6 +174,7 @@
             rng,
             plan,
         };
+        fleet.lists = fleet.views();
         for me in 0..count {
             let balancer = fleet.start(me);
             fleet.proxies.push(balancer);
@@ -142,20 +190,60 @@
         Balancer::new(settings, self.rng.u64(..), self.now).expect("the settings make sense")
     }
 
+    /// What each proxy's list says, as the plan is now.
+    fn views(&self) -> Vec<BTreeMap<BackendId, Option<Senders>>> {
+        let (servers, zones) = (self.plan.servers, usize::from(self.plan.settings.zones));
+        let proxies = self.plan.settings.balancers as usize;
+        let Some(views) = &self.plan.views else {
+            return vec![(0..servers).map(|server| (server, None)).collect(); proxies];
+        };
+        let mut lists = vec![BTreeMap::new(); proxies];
+        for server in 0..servers {
+            let holders = views.holders(server, servers, zones);
+            let local = holders.iter().filter(|&&proxy| proxy % zones == server as usize % zones).count();
+            let senders = Senders { local: local as u32, all: holders.len() as u32 };
+            for proxy in holders {
+                lists[proxy].insert(server, Some(senders));
+            }
+        }
+        lists
+    }
+
+    fn entry(&self, proxy: usize, server: BackendId) -> Backend {
+        let senders = self.lists[proxy].get(&server).copied().flatten();
+        Backend { senders, ..self.machines[server as usize].entry }
+    }
+
     fn tell_all(&mut self, proxy: usize) {
-        let entries: Vec<Backend> = self.machines.iter().map(|m| m.entry).collect();
-        self.knows[proxy] = entries.iter().map(|e| e.started).collect();
+        let entries: Vec<Backend> =
+            self.lists[proxy].keys().map(|&server| self.entry(proxy, server)).collect();
+        self.knows[proxy] = self.machines.iter().map(|m| m.entry.started).collect();
         self.event(proxy, Event::Membership(Membership::Cached(&entries)));
     }
 
+    /// Other proxies hold other servers from now on. One in `every` is told at once, the rest after `late`.
+    fn change_views(&mut self, views: Views, every: usize, late: Micros) {
+        self.plan.views = Some(views);
+        for (proxy, list) in self.views().into_iter().enumerate() {
+            let after = if proxy % every == 0 { 0 } else { late };
+            self.new_lists.push(list);
+            self.at(self.now + after, Due::View { proxy, list: self.new_lists.len() - 1 });
+        }
+    }
+
     fn at(&mut self, time: Micros, due: Due) {
         self.number += 1;
         self.due.insert((time, self.number), due);
     }
 
+    /// A proxy whose list is empty has no clients: they are at the others.
     fn next_arrival(&mut self, proxy: usize) {
+        if self.lists[proxy].is_empty() {
+            return self.at(self.now + 100 * MS, Due::Arrival(proxy));
+        }
         let all = self.plan.capacity() * f64::from(self.plan.servers) * self.plan.load;
-        let rate = all * self.weights[proxy] / self.weights.iter().sum::<f64>();
+        let serving = self.weights.iter().zip(&self.lists).filter(|(_, list)| !list.is_empty());
+        let rate = all * self.weights[proxy] / serving.map(|(weight, _)| weight).sum::<f64>();
         let gap = -(1.0 - self.rng.f64()).ln() / rate;
         self.at(self.now + (gap * SECOND as f64) as Micros + 1, Due::Arrival(proxy));
     }
@@ -250,6 +338,9 @@
         match due {
             Due::Arrival(proxy) => {
                 self.next_arrival(proxy);
+                if self.lists[proxy].is_empty() {
+                    return;
+                }
                 let mut draw = self.rng.f64();
                 let drawn = |&(_, part): &(Micros, f64)| {
                     draw -= part;
@@ -287,8 +378,13 @@
                 self.event(proxy, Event::Timer(token));
             }
             Due::Timer { .. } => {}
+            Due::View { proxy, list } => {
+                self.lists[proxy] = std::mem::take(&mut self.new_lists[list]);
+                self.tell_all(proxy);
+            }
+            Due::Told { proxy, server } if !self.lists[proxy].contains_key(&(server as BackendId)) => {}
             Due::Told { proxy, server } => {
-                let entry = self.machines[server].entry;
+                let entry = self.entry(proxy, server as BackendId);
                 self.knows[proxy][server] = entry.started;
                 self.event(proxy, Event::Membership(Membership::Delta(&[entry])));
             }
@@ -305,10 +401,16 @@
     /// The worst window of any server: what it got as a part of what is allowed, chance included; and the part of
     /// the cold servers' capacity that was used, from their start until they were warm.
     fn worst(&self) -> (f64, f64) {
+        self.worst_of(0..self.machines.len())
+    }
+
+    /// The same of some servers alone.
+    fn worst_of(&self, servers: std::ops::Range<usize>) -> (f64, f64) {
         let safety = &self.plan.settings.safety;
         let capacity = self.plan.capacity();
         let (mut worst, mut got, mut able) = (0.0_f64, 0.0, 0.0);
-        for (number, machine) in self.machines.iter().enumerate() {
+        for number in servers {
+            let machine = &self.machines[number];
             let Some(started) = machine.entry.started else { continue };
             able += capacity * safety.cold_time as f64 / SECOND as f64 * (1.0 + safety.cold_from) / 2.0;
             got += machine.sent.iter().map(|s| s.1).sum::<f64>();
@@ -476,3 +578,76 @@
     let able = 4.0 * SECOND as f64 / settings.classes[0].aim as f64 * 300.0 * part / 100.0;
     assert!(f64::from(sent) < able + 1.0, "{sent} sends, {able:.1} are what this proxy's part of it can do");
 }
+
+/// Three hundred proxies in three zones, each of which holds ten of 450 servers, and the last `whole` ones too.
+fn subsets(load: f64, whole: u32) -> Plan {
+    let views = Views { near: 5, far: 2, proxies: 0..300, whole };
+    let mut plan = Plan { load, uneven: 2.0, views: Some(views), ..Plan::new(300, 450) };
+    plan.settings.zones = 3;
+    plan.settings.classes.truncate(1);
+    plan
+}
+
+/// What [`check`] asserts, of some servers of one day.
+fn check_servers(fleet: &Fleet, servers: std::ops::Range<usize>, used: f64) {
+    let (worst, carried) = fleet.worst_of(servers.clone());
+    assert!(worst <= 1.0, "a cold one of {servers:?} got {worst:.2} times what may be sent there");
+    assert!(
+        carried >= used,
+        "cold ones of {servers:?} carried {carried:.2} of what they can do, {used} wanted"
+    );
+}
+
+#[test]
+fn cold_servers_that_subsets_of_the_proxies_hold_get_work_within_their_budget() {
+    for (load, used) in [(0.8, 0.3), (1.3, 0.45)] {
+        let mut fleet = Fleet::new(subsets(load, 0), 1);
+        fleet.run(6 * SECOND);
+        fleet.restart(0..150, SECOND);
+        fleet.run(10 * SECOND);
+        check_servers(&fleet, 0..450, used);
+    }
+}
+
+/// Before anything is measured a server's capacity is guessed, and the guess is divided by its own senders.
+#[test]
+fn where_all_servers_are_cold_from_the_start_their_few_senders_give_them_work() {
+    let mut fleet = Fleet::new(subsets(0.8, 0), 1);
+    fleet.restart(0..450, SECOND);
+    fleet.run(10 * SECOND);
+    check_servers(&fleet, 0..450, 0.12);
+}
+
+/// A list names servers with seven senders and others that all proxies send to. How much a proxy takes from those
+/// of the first sort says little of what one of the second sort bears from each of its many senders.
+#[test]
+fn lists_with_subsets_and_whole_services_keep_within_both_ones_cold_budgets() {
+    let mut fleet = Fleet::new(subsets(1.3, 20), 1);
+    fleet.run(6 * SECOND);
+    fleet.restart((0..150).chain(430..440), SECOND);
+    fleet.run(10 * SECOND);
+    check_servers(&fleet, 0..430, 0.4);
+    check_servers(&fleet, 430..450, 0.1);
+}
+
+/// Proxies joined and left, or each server has twice or half as many senders: half of the fleet learns of it four
+/// seconds after the others, and until then the two halves count the senders of a cold server differently.
+#[test]
+fn while_proxies_disagree_on_a_cold_servers_senders_it_gets_work_within_its_budget() {
+    let views = |near, far, proxies| Views { near, far, proxies, whole: 20 };
+    let changes = [
+        (views(5, 2, 0..270), views(5, 2, 30..300)),
+        (views(5, 2, 0..150), views(10, 4, 0..300)),
+        (views(10, 4, 0..300), views(5, 2, 0..150)),
+    ];
+    for (before, after) in changes {
+        let mut fleet = Fleet::new(Plan { views: Some(before), ..subsets(1.0, 20) }, 1);
+        fleet.run(6 * SECOND);
+        fleet.restart((0..150).chain(430..440), SECOND);
+        fleet.run(2 * SECOND);
+        fleet.change_views(after, 2, 4 * SECOND);
+        fleet.run(8 * SECOND);
+        check_servers(&fleet, 0..430, 0.3);
+        check_servers(&fleet, 430..450, 0.1);
+    }
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -703,3 +703,169 @@
         }
     }
 }
+
+/// One of `settings.balancers` proxies in zone 0, and servers of zones 0 and 1 that so many may send to.
+fn of_many(balancers: u32, ids: impl Iterator<Item = u32>, senders: Option<Senders>) -> Proxy {
+    let settings = Settings { balancers, cross_zone_price: 0.0, ..settings() };
+    Proxy::new(settings, ids.map(|id| Backend { senders, ..backend(id) }))
+}
+
+/// How many of a hundred requests that come together find room.
+fn admitted(mut proxy: Proxy) -> usize {
+    (0..100).for_each(|id| _ = proxy.request(request(id, 0)));
+    proxy.out().len()
+}
+
+#[test]
+fn a_proxys_part_of_a_server_follows_its_senders_and_not_the_fleet() {
+    let senders = |local, all| Some(Senders { local, all });
+    let own = || (0..40).map(|n| 2 * n);
+    let other = || (0..40).map(|n| 2 * n + 1);
+    // A server's first limit is 1.5 slots.
+    assert_eq!(admitted(of_many(300, own(), senders(4, 10))), 15, "40 servers, a quarter of each");
+    assert_eq!(admitted(of_many(300, other(), senders(4, 10))), 6, "a tenth of each");
+    assert_eq!(admitted(of_many(300, own(), senders(1, 1))), 60, "it is the only one");
+    assert_eq!(admitted(of_many(300, own(), senders(0, 0))), 60, "it counts itself");
+    assert_eq!(admitted(of_many(300, other(), senders(0, 0))), 60);
+    assert!(admitted(of_many(300, own(), None)) <= 2, "a hundred-and-fiftieth of each");
+}
+
+/// The limit of server 0, as the next process would be told.
+fn limit(proxy: &Proxy) -> f64 {
+    let learnt = proxy.balancer.learnt();
+    learnt.limits.iter().find(|(id, _)| *id == 0).expect("its limit is its own").1
+}
+
+#[test]
+fn a_limit_stays_the_same_part_of_the_server_when_its_senders_change() {
+    let entry = |all| Backend { senders: Some(Senders { local: all, all }), ..backend(0) };
+    let mut proxy = of_many(64, 0..0, None);
+    // The greatest limit: 64 slots of all proxies together.
+    let learnt = Learnt { limits: vec![(0, 1e6)], ..Learnt::default() };
+    proxy.balancer.recall(&learnt);
+    proxy.list(Membership::Full(&[entry(4)]));
+    assert_eq!(limit(&proxy), 16.0);
+    proxy.list(Membership::Delta(&[entry(8)]));
+    assert_eq!(limit(&proxy), 8.0);
+    proxy.list(Membership::Delta(&[Backend { readiness: Readiness::Draining, ..backend(0) }]));
+    assert_eq!(limit(&proxy), 8.0, "what has left the list has no senders, and its limit waits");
+    proxy.list(Membership::Full(&[backend(0)]));
+    assert_eq!(limit(&proxy), 2.0, "one of 32 proxies of its zone");
+    proxy.list(Membership::Delta(&[entry(2)]));
+    assert_eq!(limit(&proxy), 32.0);
+    load(&mut proxy, 0, 400, 40, |_| 500 * MS);
+    let low = limit(&proxy);
+    assert!(low < 4.0, "it backs off from there: {low}");
+    proxy.list(Membership::Delta(&[entry(4)]));
+    assert_eq!(limit(&proxy), low / 2.0);
+}
+
+/// What a proxy sends a cold server of another zone within five minutes, with nowhere else to go. Every twenty
+/// seconds the server has other senders for a tenth of a second.
+fn sent_cold(senders: Senders, change: Option<Senders>) -> u32 {
+    let entry = |senders| Backend { senders: Some(senders), started: Some(SECOND), ..backend(1) };
+    let mut settings = Settings { balancers: 300, ..settings() };
+    settings.safety.cold_time = 6_000 * SECOND;
+    let mut proxy = Proxy::new(settings, [entry(senders)]);
+    for id in 0..3_000 {
+        match change {
+            Some(change) if id % 200 == 198 => _ = proxy.list(Membership::Delta(&[entry(change)])),
+            Some(_) if id % 200 == 199 => _ = proxy.list(Membership::Delta(&[entry(senders)])),
+            _ => {}
+        }
+        proxy.request(request(id, 0));
+        proxy.advance(100 * MS);
+        proxy.serve(|_| 100 * MS);
+        proxy.requests.retain(|_, tracked| !tracked.ended);
+    }
+    proxy.log.iter().filter(|(_, action)| matches!(action, Action::Send { .. })).count() as u32
+}
+
+#[test]
+fn a_cold_servers_budget_is_for_its_own_senders() {
+    let of = |local, all| sent_cold(Senders { local, all }, None);
+    let (far, alone) = (of(6, 8), of(0, 2));
+    assert!(far >= 10, "a tenth of the budget: {far}");
+    assert!((far * 9 / 2..=far * 11 / 2).contains(&alone), "none is near: a half, five times {far}: {alone}");
+    let few = of(96, 98);
+    assert!(few.abs_diff(far) <= 2, "two far ones have the same however many are near: {few} and {far}");
+}
+
+/// Tokens come at the rate that was in force: a moment with fewer senders makes no more of those of its past.
+#[test]
+fn a_cold_servers_tokens_come_at_the_rate_of_their_time() {
+    let senders = |far: u32| Senders { local: 6, all: 6 + far };
+    let (many, few) = (sent_cold(senders(8), None), sent_cold(senders(2), None));
+    assert!(few > 3 * many && many > 3, "a quarter of the senders: {many} and {few}");
+    let changing = sent_cold(senders(8), Some(senders(2)));
+    assert!(changing.abs_diff(many) <= 2, "{many}, with moments of fewer senders {changing}");
+}
+
+#[test]
+fn a_tenants_share_is_divided_by_the_fleet_that_serves_the_services() {
+    let tenants = vec![Tenant { allowance_per_s: 1000.0 }, Tenant { allowance_per_s: 1e9 }];
+    let mut proxy = Proxy::new(Settings { tenants, balancers: 100, ..single_zone() }, one_zone(1));
+    proxy
+        .list(Membership::Full(&[Backend { senders: Some(Senders { local: 1, all: 1 }), ..one_zone(1)[0] }]));
+    // The server is full: what is within its share is held, what is beyond it is refused at once.
+    (0..9).for_each(|id| _ = proxy.request(Request { tenant: 1, ..request(id, 0) }));
+    let mut next = 100;
+    let mut within = |proxy: &mut Proxy| {
+        proxy.advance(2 * SECOND);
+        next += 1000;
+        (next..next + 500).filter(|&id| !refused(&proxy.request(request(id, 0)))).count()
+    };
+    assert_eq!(within(&mut proxy), 10, "a hundredth of a thousand");
+    proxy.event(Event::Fleet { proxies: Some(5) });
+    assert_eq!(within(&mut proxy), 200, "a fifth");
+    proxy.event(Event::Fleet { proxies: Some(0) });
+    assert_eq!(within(&mut proxy), 500, "it is one of them, whatever it is told");
+    proxy.event(Event::Fleet { proxies: None });
+    assert_eq!(within(&mut proxy), 10);
+}
+
+/// No senders told means all of the settings' proxies: the same as if that were said of each server.
+#[test]
+fn without_senders_all_proxies_of_the_settings_count() {
+    let run = |senders: Option<Senders>, fleet: Option<u32>| {
+        let tenants = vec![Tenant { allowance_per_s: 300.0 }];
+        let settings = Settings { balancers: 8, zones: 2, kinds: 2, tenants, ..settings() };
+        let entry = |id: u32| Backend {
+            kind: (id / 2 % 2) as u8,
+            started: (id % 3 == 0).then_some(2 * SECOND),
+            senders,
+            ..backend(id)
+        };
+        let mut proxy = Proxy::new(settings, []);
+        proxy.event(Event::Fleet { proxies: fleet });
+        proxy.list(Membership::Cached(&(0..30).map(backend).collect::<Vec<_>>()));
+        load(&mut proxy, 0, 500, 2, |id| u64::from(20 + id * 7) * MS);
+        proxy.list(Membership::Full(&(0..40).map(entry).collect::<Vec<_>>()));
+        load(&mut proxy, 10_000, 500, 3, |id| u64::from(20 + id * 7) * MS);
+        proxy.log
+    };
+    let told = run(Some(Senders { local: 4, all: 8 }), Some(8));
+    assert!(told.len() > 1_000);
+    assert_eq!(run(None, None), told);
+}
+
+/// Nearly all senders are of other zones and send nothing: what this proxy takes from a server is all that the server
+/// does, and not an eighth of it.
+#[test]
+fn a_proxy_that_is_alone_in_its_zone_does_not_overrate_a_cold_server() {
+    let senders = Some(Senders { local: 1, all: 8 });
+    let entry = |n: u32| Backend { senders, ..backend(2 * n) };
+    let mut settings = Settings { balancers: 300, ..settings() };
+    settings.safety.cold_time = 6_000 * SECOND;
+    let mut proxy = Proxy::new(settings.clone(), (0..10).map(entry));
+    // Two hundred a second, twenty to a server.
+    load(&mut proxy, 0, 1_000, 2, |_| 50 * MS);
+    let from = proxy.log.len();
+    proxy.list(Membership::Delta(&[Backend { started: Some(proxy.now), ..entry(0) }]));
+    load(&mut proxy, 10_000, 2_000, 2, |_| 50 * MS);
+    let cold = |(_, action): &&(Micros, Action)| matches!(action, Action::Send { backend: 0, .. });
+    let sent = proxy.log[from..].iter().filter(cold).count() as f64;
+    let able = 20.0 * 20.0 * settings.safety.cold_from;
+    assert!(sent > able / 4.0, "{sent} in twenty seconds: it gets work");
+    assert!(sent < able, "{sent} in twenty seconds, {able} are what it can do");
+}
