Let tests use the rig's fault relay

Tests of several processes with faults between them (views) need what the rig has already: the module is public now, with nothing else changed.

--- a/src/rig/mod.rs
+++ b/src/rig/mod.rs
@@ -18,7 +18,7 @@
 mod nemesis;
 mod overhead;
 mod procs;
-mod relay;
+pub mod relay;
 mod report;
 mod scenario;
 mod step;
