--- a/benches/capacity/main.rs
+++ b/benches/capacity/main.rs
@@ -5,13 +5,18 @@
 #![allow(missing_docs, reason = "a program; its modules document their items")]
 
 mod fit;
+mod network;
 mod plot;
+mod process;
 mod projections;
+mod proxy;
 mod record;
 mod report;
+mod setup;
 mod slopes;
 
 use clap::{Parser, ValueEnum};
+use record::Version;
 use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -22,6 +27,9 @@
     /// What to measure or make.
     #[arg(value_enum)]
     part: Part,
+    /// Measures proxies that ask for their view instead of the whole list.
+    #[arg(long)]
+    view: bool,
     /// Cargo gives this to every bench.
     #[arg(long, hide = true)]
     bench: bool,
@@ -29,6 +37,8 @@
 
 #[derive(Clone, Copy, ValueEnum)]
 enum Part {
+    /// One proxy: its memory, processor time, start, and what it hears of its list.
+    Proxy,
     /// The tables and pictures, from the samples that are there.
     Report,
     /// Every part, then the report.
@@ -45,15 +55,21 @@
     Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/CAPACITY.md")
 }
 
-fn run(part: Part) -> Result<(), Box<dyn Error>> {
-    match part {
-        Part::Report | Part::All => report::write(&folder(), &page())?,
+fn run(command: &Command) -> Result<(), Box<dyn Error>> {
+    let version = if command.view { Version::View } else { Version::WholeList };
+    match command.part {
+        Part::Proxy => proxy::measure(&folder(), version)?,
+        Part::Report => report::write(&folder(), &page())?,
+        Part::All => {
+            proxy::measure(&folder(), version)?;
+            report::write(&folder(), &page())?;
+        }
     }
     Ok(())
 }
 
 fn main() -> ExitCode {
-    match run(Command::parse().part) {
+    match run(&Command::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("capacity: {error}");
--- a/benches/capacity/report.rs
+++ b/benches/capacity/report.rs
@@ -3,7 +3,7 @@
 
 use crate::fit::Point;
 use crate::plot;
-use crate::projections::{Projected, ProjectionError, SizeFile};
+use crate::projections::{Projected, ProjectionError, Size, SizeFile};
 use crate::record::{RecordError, Sample, read_folder};
 use crate::slopes::{Slope, SlopeError, slopes};
 use std::collections::BTreeMap;
@@ -81,7 +81,7 @@
         let pictures = by_series.iter().map(|(series, slopes)| picture(series, slopes));
         Ok(Self {
             slopes: format!("{}\n{}", slopes_table(&slopes), runs_table(&by_series)),
-            projections: projections_table(&projected),
+            projections: format!("{}\n{}", size_sentence(&size.size), projections_table(&projected)),
             pictures: pictures.collect::<Result<_, _>>()?,
         })
     }
@@ -186,6 +186,26 @@
     table
 }
 
+/// The operators' size, as their file gives it.
+fn size_sentence(size: &Size) -> String {
+    format!(
+        "The operators' size: {} proxies, {} backends, {} services, {} requests a second, {} routes, {} tenants, \
+         {} changes a day in force within {} s; for each proxy {}% of a core, {} MB and {} KB a second; {} machines.\n",
+        count(size.proxies as f64),
+        count(size.backends as f64),
+        count(size.services as f64),
+        count(size.requests_per_s),
+        count(size.routes as f64),
+        count(size.tenants as f64),
+        count(size.changes_per_day),
+        size.change_within_s,
+        size.proxy_core_percent,
+        size.proxy_memory_mb,
+        size.proxy_kilobytes_per_s,
+        size.machines,
+    )
+}
+
 fn projections_table(projected: &[Projected<'_>]) -> String {
     let mut table = String::from(
         "| role | slope | lists | at | arithmetic | budget | result | carried by |\n\
--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -148,6 +148,7 @@
     assert!(page.contains("| 87,000 backends, extrapolated 21.8-fold |"), "{page}");
     assert!(page.contains("| 8.000 + 0.5000 × 87,000 = 43,508 MB | 435.1 MB |"), "{page}");
     assert!(page.contains("| over by a factor of 100.0 | views |"), "{page}");
+    assert!(page.contains("The operators' size: 1 proxies, 1 backends"), "{page}");
     let within = filled(&folder("within", &straight(), 3_000.0, 1_508.0), PAGE);
     assert!(within.contains("| 3,000 backends |") && within.contains("| within | views |"), "{within}");
 }
@@ -206,3 +207,56 @@
     assert!(picture.svg.contains("proxy-made-up/memory") && picture.svg.contains("proxy-made-up/start"));
     assert_eq!(picture.svg.matches("<circle").count(), 8, "a point for each size of each slope");
 }
+
+fn docs() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("docs")
+}
+
+#[test]
+fn the_page_and_the_pictures_are_those_of_the_samples() {
+    let folder = docs().join("capacity");
+    let report = Report::of(&folder).expect("the samples make a report");
+    let page = fs::read_to_string(docs().join("CAPACITY.md")).expect("the page");
+    let wanted = report.fill(&page).expect("the page has its markers");
+    assert!(page == wanted, "run the bench's `report`: docs/CAPACITY.md should be\n{wanted}");
+    for picture in &report.pictures {
+        let drawn = fs::read_to_string(folder.join(&picture.name)).expect("a picture for each series");
+        assert!(drawn == picture.svg, "run the bench's `report`: {} shows other samples", picture.name);
+    }
+}
+
+#[test]
+fn the_samples_hold_every_series_of_a_proxy_at_four_sizes_or_more() {
+    let samples = read_folder(&docs().join("capacity")).expect("samples");
+    let slopes = slopes::slopes(&samples).expect("slopes, each with four sizes at least");
+    for series in ["proxy-backends", "proxy-tenants", "proxy-classes", "proxy-changes"] {
+        let of_series: Vec<_> = slopes.iter().filter(|slope| slope.shared().series == series).collect();
+        assert!(of_series.len() >= 3, "{series}: {} slopes", of_series.len());
+        let repeats = of_series.iter().flat_map(|slope| &slope.fit.points).map(|point| point.repeats);
+        assert!(repeats.min().expect("points") >= 3, "{series} has fewer than three repeats");
+    }
+}
+
+#[test]
+fn a_change_in_a_copy_of_what_is_kept_is_found() {
+    let page = fs::read_to_string(docs().join("CAPACITY.md")).expect("the page");
+    let copy = env::temp_dir().join(format!("gatestage-capacity-{}-kept", std::process::id()));
+    fs::create_dir_all(&copy).expect("a folder");
+    for entry in fs::read_dir(docs().join("capacity")).expect("the samples") {
+        let path = entry.expect("a file").path();
+        fs::copy(&path, copy.join(path.file_name().expect("a name"))).expect("a copy");
+    }
+    assert_eq!(filled(&copy, &page), page, "the copy says what the page says");
+    let bend = page.find("% | ").expect("a residual in the table");
+    let mut touched = page.clone();
+    let digit = if &page[bend - 1..bend] == "9" { "8" } else { "9" };
+    touched.replace_range(bend - 1..bend, digit);
+    assert_ne!(filled(&copy, &touched), touched, "a changed figure on the page");
+    let mut samples = read_folder(&copy).expect("samples");
+    let series = samples[0].series.clone();
+    samples.retain(|sample| sample.series == series);
+    samples.iter_mut().for_each(|sample| sample.value *= 1.01);
+    write_samples(&copy.join(format!("{series}.jsonl")), &samples).expect("the samples are written");
+    assert_ne!(filled(&copy, &page), page, "changed samples");
+    fs::remove_dir_all(&copy).expect("the copy is removed");
+}
