Measure what a group that agrees on bans costs with growing learners, bans and lists

What a group costs its leader, its voters and the machines that follow was known from single runs only. The part `group` of the scale harness runs groups of real processes and records idle processor time (of the group's threads and of the process), memory, calls and bytes between the machines, and the time to a yes over learners (with three and with five voters); the same, the state on disk, and the return of a voter that lost its process or its disk over bans; and the copies of what was learnt over listed backends. The program takes three or five voters, so that there is no line over them.

The calls and bytes are counted by a relay before each machine.

--- a/benches/capacity/main.rs
+++ b/benches/capacity/main.rs
@@ -5,6 +5,7 @@
 #![allow(missing_docs, reason = "a program; its modules document their items")]
 
 mod fit;
+mod group;
 mod network;
 mod plot;
 mod process;
@@ -39,6 +40,8 @@
 enum Part {
     /// One proxy: its memory, processor time, start, and what it hears of its list.
     Proxy,
+    /// What a group of proxies that agree on bans costs; `--view` changes nothing in it.
+    Group,
     /// The tables and pictures, from the samples that are there.
     Report,
     /// Every part, then the report.
@@ -59,9 +62,11 @@
     let version = if command.view { Version::View } else { Version::WholeList };
     match command.part {
         Part::Proxy => proxy::measure(&folder(), version)?,
+        Part::Group => group::measure(&folder())?,
         Part::Report => report::write(&folder(), &page())?,
         Part::All => {
             proxy::measure(&folder(), version)?;
+            group::measure(&folder())?;
             report::write(&folder(), &page())?;
         }
     }
