--- a/benches/capacity/report.rs
+++ b/benches/capacity/report.rs
@@ -1,7 +1,7 @@
 //! The tables of `docs/CAPACITY.md` and the pictures, made from the samples alone: the same samples give the same
 //! bytes on every machine.
 
-use crate::fit::Point;
+use crate::fit::{Fit, Point};
 use crate::plot;
 use crate::projections::{Projected, ProjectionError, Size, SizeFile};
 use crate::record::{RecordError, Sample, read_folder};
@@ -146,7 +146,7 @@
     for slope in slopes {
         let (shared, fit) = (slope.shared(), &slope.fit);
         let medians: Vec<_> = fit.points.iter().map(median).collect();
-        let line = format!("{} + {} × {}", figure(fit.intercept), figure(fit.slope), shared.size_name);
+        let line = line(fit, &shared.size_name);
         let bend = fit.bend.map_or("flat".to_owned(), |bend| format!("{bend:.2}"));
         let (id, lists, unit, medians) = (&slope.id, shared.version.name(), &shared.unit, medians.join("; "));
         let (residual, largest) = (percent(fit.residual), percent(fit.largest_residual));
@@ -218,7 +218,7 @@
             Some(factor) => format!("{size} {}, extrapolated {factor:.1}-fold", shared.size_name),
             None => format!("{size} {}", shared.size_name),
         };
-        let (intercept, slope) = (figure(fit.intercept), figure(fit.slope));
+        let line = line(fit, &size);
         let value = figure(row.value);
         let result = row.over_by().map_or("within".to_owned(), |factor| {
             let factor = figure(factor);
@@ -226,7 +226,7 @@
         });
         let _ = writeln!(
             table,
-            "| {} | `{}` | {} | {at} | {intercept} + {slope} × {size} = {value} {unit} | {} {unit} | {result} \
+            "| {} | `{}` | {} | {at} | {line} = {value} {unit} | {} {unit} | {result} \
              | {} |",
             projection.role,
             projection.slope,
@@ -239,6 +239,12 @@
     table
 }
 
+/// What the line gives, as a sum, at this size.
+fn line(fit: &Fit, size: &str) -> String {
+    let sign = if fit.slope < 0.0 { '-' } else { '+' };
+    format!("{} {sign} {} × {size}", figure(fit.intercept), figure(fit.slope.abs()))
+}
+
 fn percent(part: f64) -> String {
     format!("{:.1}%", part * 100.0)
 }
--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -153,6 +153,14 @@
     assert!(within.contains("| 3,000 backends |") && within.contains("| within | views |"), "{within}");
 }
 
+#[test]
+fn a_line_that_falls_is_written_as_a_difference() {
+    let falling: Vec<_> = [100, 200, 300, 400].map(|size| sample(size, 900.0 - size as f64)).into();
+    let page = filled(&folder("falling", &falling, 500.0, 500.0), PAGE);
+    assert!(page.contains("| 900.0 - 1.000 × backends MB |"), "{page}");
+    assert!(page.contains("| 900.0 - 1.000 × 500 = 400.0 MB |"), "{page}");
+}
+
 #[test]
 fn a_changed_figure_is_found() {
     let folder = folder("changed", &straight(), 4_000.0, 10.0);
