--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -245,7 +245,8 @@
     }
 
     /// Whether anything new may go to a backend.
-    fn may_send(&self, server: &Server) -> bool {
+    #[must_use]
+    pub fn may_send(&self, server: &Server) -> bool {
         server.ready.get() && !self.banned.borrow().contains(&server.id)
     }
 
