Measure the list service with hollow proxies: part `registry` of the scale harness

What a change, a restart and an outage cost the list service was not known beyond three hundred proxies. Hollow proxies are the discovery client, the driver and the module of real ones, many to a process, without a listener for clients; what they hold is read from the sockets' side, which the driver tells in the same turn as the module. The series go over watchers, members, the size of a change, a lost zone and the return of all watchers after an outage; `--on-request` has the module ask, `--view` writes the file of views.

--- a/benches/capacity/main.rs
+++ b/benches/capacity/main.rs
@@ -8,10 +8,14 @@
 mod plot;
 mod projections;
 mod record;
+mod registry;
 mod report;
 mod slopes;
 
 use clap::{Parser, ValueEnum};
+use record::Version;
+use registry::hollow::{self, Mode};
+use registry::hollows;
 use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -22,6 +26,12 @@
     /// What to measure or make.
     #[arg(value_enum)]
     part: Part,
+    /// Part `registry`: views in place of whole lists.
+    #[arg(long)]
+    view: bool,
+    /// Part `registry`: proxies ask for changes when their module says so, in place of an agent that follows the list.
+    #[arg(long)]
+    on_request: bool,
     /// Cargo gives this to every bench.
     #[arg(long, hide = true)]
     bench: bool,
@@ -29,12 +39,22 @@
 
 #[derive(Clone, Copy, ValueEnum)]
 enum Part {
+    /// The list service as a process, followed by hollow proxies.
+    Registry,
     /// The tables and pictures, from the samples that are there.
     Report,
     /// Every part, then the report.
     All,
 }
 
+/// What part `registry` serves and how.
+fn registry_options(command: &Command) -> registry::Options {
+    registry::Options {
+        version: if command.view { Version::View } else { Version::WholeList },
+        mode: if command.on_request { Mode::OnRequest } else { Mode::Pushed },
+    }
+}
+
 /// Where the samples and pictures lie.
 fn folder() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/capacity")
@@ -45,15 +65,33 @@
     Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/CAPACITY.md")
 }
 
-fn run(part: Part) -> Result<(), Box<dyn Error>> {
-    match part {
-        Part::Report | Part::All => report::write(&folder(), &page())?,
+fn run(command: &Command) -> Result<(), Box<dyn Error>> {
+    match command.part {
+        Part::Registry => registry::run(registry_options(command), &folder())?,
+        Part::Report => report::write(&folder(), &page())?,
+        Part::All => {
+            registry::run(registry_options(command), &folder())?;
+            report::write(&folder(), &page())?;
+        }
     }
     Ok(())
 }
 
+/// The argument of a process of hollow proxies, where this is one.
+fn hollow_bank() -> Option<String> {
+    let mut arguments = std::env::args().skip(1);
+    arguments.next().filter(|first| first == hollows::ARGUMENT).and_then(|_| arguments.next())
+}
+
 fn main() -> ExitCode {
-    match run(Command::parse().part) {
+    if let Some(bank) = hollow_bank() {
+        return finish(hollow::run(&bank));
+    }
+    finish(run(&Command::parse()))
+}
+
+fn finish(result: Result<(), Box<dyn Error>>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("capacity: {error}");
