--- a/benches/capacity/main.rs
+++ b/benches/capacity/main.rs
@@ -12,12 +12,15 @@
 mod projections;
 mod proxy;
 mod record;
+mod registry;
 mod report;
 mod setup;
 mod slopes;
 
 use clap::{Parser, ValueEnum};
 use record::Version;
+use registry::hollow::{self, Mode};
+use registry::hollows;
 use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -34,6 +37,9 @@
     /// Measures just this series of the proxy.
     #[arg(long, value_enum)]
     only: Option<proxy::Growing>,
+    /// Part `registry`: proxies ask for changes when their module says so, in place of an agent that follows the list.
+    #[arg(long)]
+    on_request: bool,
     /// Cargo gives this to every bench.
     #[arg(long, hide = true)]
     bench: bool,
@@ -43,6 +49,8 @@
 enum Part {
     /// One proxy: its memory, processor time, start, and what it hears of its list.
     Proxy,
+    /// The list service as a process, followed by hollow proxies.
+    Registry,
     /// What a group of proxies that agree on bans costs; `--view` changes nothing in it.
     Group,
     /// The tables and pictures, from the samples that are there.
@@ -51,6 +59,16 @@
     All,
 }
 
+fn version_of(view: bool) -> Version {
+    if view { Version::View } else { Version::WholeList }
+}
+
+/// What part `registry` serves and how.
+fn registry_options(view: bool, on_request: bool) -> registry::Options {
+    let mode = if on_request { Mode::OnRequest } else { Mode::Pushed };
+    registry::Options { version: version_of(view), mode }
+}
+
 /// Where the samples and pictures lie.
 fn folder() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/capacity")
@@ -62,13 +80,16 @@
 }
 
 fn run(command: &Command) -> Result<(), Box<dyn Error>> {
-    let version = if command.view { Version::View } else { Version::WholeList };
     match command.part {
-        Part::Proxy => proxy::measure(&folder(), version, command.only)?,
+        Part::Proxy => proxy::measure(&folder(), version_of(command.view), command.only)?,
+        Part::Registry => registry::run(registry_options(command.view, command.on_request), &folder())?,
         Part::Group => group::measure(&folder())?,
         Part::Report => report::write(&folder(), &page())?,
         Part::All => {
-            proxy::measure(&folder(), version, command.only)?;
+            for view in [false, true] {
+                proxy::measure(&folder(), version_of(view), command.only)?;
+                registry::run(registry_options(view, command.on_request), &folder())?;
+            }
             group::measure(&folder())?;
             report::write(&folder(), &page())?;
         }
@@ -76,8 +97,21 @@
     Ok(())
 }
 
+/// The argument of a process of hollow proxies, where this is one.
+fn hollow_bank() -> Option<String> {
+    let mut arguments = std::env::args().skip(1);
+    arguments.next().filter(|first| first == hollows::ARGUMENT).and_then(|_| arguments.next())
+}
+
 fn main() -> ExitCode {
-    match run(&Command::parse()) {
+    if let Some(bank) = hollow_bank() {
+        return finish(hollow::run(&bank));
+    }
+    finish(run(&Command::parse()))
+}
+
+fn finish(result: Result<(), Box<dyn Error>>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("capacity: {error}");
