--- a/benches/capacity/main.rs
+++ b/benches/capacity/main.rs
@@ -16,6 +16,8 @@
 mod report;
 mod setup;
 mod slopes;
+mod subsets;
+mod subsetting;
 
 use clap::{Parser, ValueEnum};
 use record::Version;
@@ -49,6 +51,8 @@
 enum Part {
     /// One proxy: its memory, processor time, start, and what it hears of its list.
     Proxy,
+    /// Ways of giving each proxy a subset of a service's members, by computation alone.
+    Subsets,
     /// The list service as a process, followed by hollow proxies.
     Registry,
     /// What a group of proxies that agree on bans costs; `--view` changes nothing in it.
@@ -82,10 +86,12 @@
 fn run(command: &Command) -> Result<(), Box<dyn Error>> {
     match command.part {
         Part::Proxy => proxy::measure(&folder(), version_of(command.view), command.only)?,
+        Part::Subsets => subsets::run(&folder())?,
         Part::Registry => registry::run(registry_options(command.view, command.on_request), &folder())?,
         Part::Group => group::measure(&folder())?,
         Part::Report => report::write(&folder(), &page())?,
         Part::All => {
+            subsets::run(&folder())?;
             for view in [false, true] {
                 proxy::measure(&folder(), version_of(view), command.only)?;
                 registry::run(registry_options(view, command.on_request), &folder())?;
