Measure the list service with a service that grows with its proxies

With views, few watchers of many members hold a large part of them each, since a member has four senders at the least: a line over members with 20 watchers says nothing of the size. The new series has 13 members for each proxy, up to the largest service at the operators' size (680 proxies), a lost zone, and an outage after which nearly all proxies have something to hear.

--- a/benches/capacity/registry.rs
+++ b/benches/capacity/registry.rs
@@ -31,6 +31,10 @@
 const MEMBERS: [usize; 4] = [500, 2_000, 8_000, 20_000];
 const CHANGED: [usize; 4] = [1, 10, 100, 1_000];
 const ZONE_MEMBERS: [usize; 4] = [300, 600, 1_200, 2_400];
+/// The proxies of a service that grows with them; the last is the largest service at the operators' size.
+const FLEET: [usize; 5] = [50, 100, 200, 400, 680];
+/// Its members for each proxy.
+const MEMBERS_EACH: usize = 13;
 const RETURNING: [usize; 4] = [50, 100, 200, 400];
 const FEW_WATCHERS: usize = 20;
 const SOME_WATCHERS: usize = 100;
@@ -181,9 +185,8 @@
         Ok(Cost { service, hollows, told: Told { since_us, seen } })
     }
 
-    /// Kills the list service, and starts it again after `away` with a member taken out of use.
-    fn outage(&mut self, away: Duration) -> Outcome<Cost> {
-        let change = Change::Leaving(0..1);
+    /// Kills the list service, and starts it again after `away` with a change, which shows who has heard of it.
+    fn outage(&mut self, away: Duration, change: Change) -> Outcome<Cost> {
         let question = self.question(&change);
         self.service.rewrite(change)?;
         let hollows = self.hollows.usage()?;
@@ -310,7 +313,7 @@
             let cost = bank.change(Change::Leaving(0..1))?;
             run.add_change(&bank, members, repeat, &cost)?;
             bank.change(Change::Nothing)?;
-            let cost = bank.outage(Duration::ZERO)?;
+            let cost = bank.outage(Duration::ZERO, Change::Leaving(0..1))?;
             run.add_outage(members, repeat, &cost)?;
         }
     }
@@ -352,20 +355,46 @@
     for watchers in RETURNING {
         let mut bank = run.bank(Size { members: SOME_MEMBERS, watchers })?;
         for repeat in 1..=REPEATS {
-            let cost = bank.outage(OUTAGE)?;
+            let cost = bank.outage(OUTAGE, Change::Leaving(0..1))?;
             run.add_outage(watchers, repeat, &cost)?;
         }
     }
     run.end(folder)
 }
 
+/// A service that grows with its proxies: a zone's members go, and all watchers return after an outage in which that
+/// zone went. Each view holds members of every zone, so that nearly all proxies hear of it.
+fn fleet(options: Options, folder: &Path) -> Outcome<()> {
+    let mut run = Run::new(options, "registry_fleet", "watchers")?;
+    for watchers in FLEET {
+        let mut bank = run.bank(Size { members: MEMBERS_EACH * watchers, watchers })?;
+        for repeat in 1..=REPEATS {
+            let cost = bank.change(Change::ZoneGone(repeat as usize % ZONES.len()))?;
+            run.add_change(&bank, watchers, repeat, &cost)?;
+            bank.change(Change::Nothing)?;
+            let cost = bank.outage(OUTAGE, Change::ZoneGone(0))?;
+            run.add_outage(watchers, repeat, &cost)?;
+        }
+    }
+    run.end(folder)
+}
+
+/// The series of a version. With views, few watchers of many members would each hold a large part of them, as every
+/// member has its fewest senders: members grow with the watchers there.
+fn series_of(version: Version) -> &'static [fn(Options, &Path) -> Outcome<()>] {
+    match version {
+        Version::WholeList => &[watchers, members, changed, lost_zone, returning],
+        Version::View => &[watchers, changed, lost_zone, fleet],
+    }
+}
+
 /// Measures all series and writes their samples into `folder`.
 ///
 /// # Errors
 /// When a process can't be started, ends or does not do its part in time, or a sample can't be written.
 pub fn run(options: Options, folder: &Path) -> Outcome<()> {
     let begun = Instant::now();
-    for series in [watchers, members, changed, lost_zone, returning] {
+    for series in series_of(options.version) {
         series(options, folder)?;
     }
     eprintln!("capacity: part registry took {:.0} s", begun.elapsed().as_secs_f64());
