Let a limit kept on disk fade towards this proxy's part of the first limit

A limit is one proxy's part of a server's, but what faded of a kept one faded towards a whole server's first limit, 1.5. With 100 proxies in two zones a kept 0.08 (4.0 for the server) came back after a minute as 0.79 (39.5) in place of 0.055; with some hundreds it reached the most, 64.

What is kept is now faded when its server is listed and the proxy's part of it is known. The new test fails without the change (0.79 for 0.055). A handover between processes (no age) and the kinds' limits, which are whole servers', are as before.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -188,8 +188,9 @@
     processes: u32,
     /// The proxies that serve what this one serves; `None`: all that the settings count.
     fleet: Option<u32>,
-    /// The limits that another process had, for servers that are not listed yet.
+    /// The limits that another process had, for servers that are not listed yet, and how much they still count.
     recalled: FxHashMap<BackendId, f64>,
+    recalled_weight: f64,
 }
 
 impl Balancer {
@@ -227,6 +228,7 @@
             processes: 1,
             fleet: None,
             recalled: FxHashMap::default(),
+            recalled_weight: 1.0,
             settings,
         })
     }
@@ -295,6 +297,7 @@
             }
         }
         self.recalled = learnt.limits.iter().copied().filter(|(_, limit)| sound(*limit)).collect();
+        self.recalled_weight = 1.0;
     }
 
     /// Goes on from what was learnt `age` microseconds ago and kept on disk: each limit moves towards the
@@ -311,8 +314,9 @@
         for kind in &mut learnt.kinds {
             (kind.limit, kind.served) = (aged(kind.limit), kind.served * weight);
         }
-        learnt.limits.iter_mut().for_each(|(_, limit)| *limit = aged(*limit));
         self.recall(&learnt);
+        // A limit is this proxy's part of a server's: that of the start is known once the server is listed.
+        self.recalled_weight = weight;
     }
 
     // ---- Settings ----
@@ -512,6 +516,8 @@
                 self.restarted(now, index);
                 if let Some(limit) = self.recalled.remove(&entry.id) {
                     let share = self.servers[index].share(&self.settings);
+                    let start = INITIAL_LIMIT * share;
+                    let limit = start + (limit - start) * self.recalled_weight;
                     let server = &mut self.servers[index];
                     server.limit = limit.clamp(MIN_LIMIT * share, MAX_LIMIT * share);
                     server.probing = false;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -869,3 +869,23 @@
     assert!(sent > able / 4.0, "{sent} in twenty seconds: it gets work");
     assert!(sent < able, "{sent} in twenty seconds, {able} are what it can do");
 }
+
+/// A limit is one proxy's part of a server's, and what fades of it on disk fades towards its part of the start's.
+#[test]
+fn what_was_kept_on_disk_fades_towards_this_proxys_part_of_the_first_limit() {
+    let settings = Settings { balancers: 100, ..settings() };
+    let local = f64::from(settings.balancers) / f64::from(settings.zones);
+    let (kept, first) = (4.0 / local, 1.5 / local);
+    let kinds = vec![LearntKind { limit: 4.0, growing: false, served: 10.0 }];
+    let learnt = Learnt { kinds, limits: vec![(0, kept)], latencies: Vec::new() };
+    let limit_after = |age: Micros| {
+        let mut proxy = Proxy::new(settings.clone(), []);
+        proxy.balancer.recall_aged(&learnt, age);
+        proxy.list(Membership::Full(&[backend(0)]));
+        proxy.balancer.learnt().limits[0].1
+    };
+    let near = |limit: f64, expected: f64| (limit - expected).abs() < 1e-9;
+    assert!(near(limit_after(0), kept), "at once: {} for {kept}", limit_after(0));
+    let half = (kept + first) / 2.0;
+    assert!(near(limit_after(60 * SECOND), half), "a minute old: {} for {half}", limit_after(60 * SECOND));
+}
