Take a backend whose senders make no sense as one that all proxies hold

An entry of a view with a garbled `senders` was passed over: a complete list in which all were wrong would have left the proxy no backend, and where the JSON type was wrong the log line named no id. The entry is now taken without senders, so that the proxy counts all proxies of the settings (the least part of the backend), and the line names the id and the form wanted.

A malformed entry in any other field is passed over as before.

--- a/src/proxy/discovery/entries.rs
+++ b/src/proxy/discovery/entries.rs
@@ -138,7 +138,7 @@
 
     fn member(&mut self, member: Value, of_view: bool) -> Result<Listed, EntryError> {
         let raw: RawMember = serde_json::from_value(member).map_err(EntryError::Malformed)?;
-        let senders = if of_view { senders(&raw)? } else { None };
+        let senders = if of_view { known_senders(&raw) } else { None };
         let Ok(address) = raw.host_port.parse() else {
             return Err(EntryError::Address(raw.id, raw.host_port));
         };
@@ -173,9 +173,18 @@
     }
 }
 
-/// How many proxies hold an entry of a view.
+/// How many proxies hold an entry of a view. Where that makes no sense the entry is taken as one that all proxies
+/// hold, which gives this one the least part of it: a backend is not lost for it.
+fn known_senders(raw: &RawMember) -> Option<Senders> {
+    senders(raw).unwrap_or_else(|problem| {
+        log(format_args!("taking an entry of the list as one that all proxies hold: {problem}"));
+        None
+    })
+}
+
 fn senders(raw: &RawMember) -> Result<Option<Senders>, EntryError> {
-    let senders = Option::<Senders>::deserialize(&raw.senders).map_err(EntryError::Malformed)?;
+    let senders = Option::<Senders>::deserialize(&raw.senders)
+        .map_err(|source| EntryError::SendersShape { id: raw.id.clone(), source })?;
     match senders {
         Some(Senders { local, all }) if all == 0 || local > all => {
             Err(EntryError::Senders { id: raw.id.clone(), local, all })
--- a/src/proxy/discovery/error.rs
+++ b/src/proxy/discovery/error.rs
@@ -102,7 +102,7 @@
     }
 }
 
-/// Why an entry of a list is passed over. The other entries of that list are used.
+/// What is wrong with an entry of a list. The other entries of that list are used.
 #[derive(Debug, Error)]
 pub(super) enum EntryError {
     /// Not the fields of an entry.
@@ -119,6 +119,16 @@
         "`{0}`: unknown locality `{1}`; add it to `failureDomains` of the settings or correct it in discovery"
     )]
     Locality(String, String),
+    /// Numbers of proxies that are none.
+    #[error(
+        "`{id}`: `senders` is not of the form {{\"local\": 1, \"all\": 4}}: {source}; correct it at the list service"
+    )]
+    SendersShape {
+        /// The entry's `id`.
+        id: String,
+        /// The cause.
+        source: serde_json::Error,
+    },
     /// Numbers of proxies that can't be.
     #[error(
         "`{id}`: `senders` has local {local} of all {all}: all is at least 1, and local no more than that; correct it \
