--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -188,8 +188,9 @@
     processes: u32,
     /// The proxies that serve what this one serves; `None`: all that the settings count.
     fleet: Option<u32>,
-    /// The limits that another process had, for servers that are not listed yet, and how much they still count.
+    /// The limits that another process had, for servers that are not listed yet.
     recalled: FxHashMap<BackendId, f64>,
+    /// How much these still count beside the start's limit.
     recalled_weight: f64,
 }
 
