Hold hundreds of thousands of tenants in a compact form, and count each by its own number

Nearly all of it was the configuration kept a second time as a JSON tree, to know which keys the next one has to have; the rest were two copies of each name. A request beyond its tenant's share summed over all tenants, and tenants had 16-bit numbers: from 65,536 on two shared one.

Change: of a configuration only the keys are kept, of a list's entries one for each set of keys that occurs (shape.rs, with the same rule on what is missing and the same position said); settings are read from their text, without a tree of values between. Names stand in one text, found through a table of numbers (tenants.rs). What all tenants ask for is summed over those that asked of late. Numbers have 32 bits.

Rejected: only the tenants of the proxy's services. It needs each tenant's services in the platform's configuration, and the compact form may do without.

--- a/src/api.rs
+++ b/src/api.rs
@@ -10,6 +10,8 @@
 pub type RequestId = u32;
 /// A class of requests; a number means the same class for the whole life of an instance.
 pub type ClassNumber = u32;
+/// A tenant's number: its position in the settings.
+pub type TenantNumber = u32;
 /// A backend server; the same number at every proxy, also after its process restarts.
 pub type BackendId = u32;
 
@@ -286,7 +288,7 @@
     /// The number of its class: its position in the settings, as long as there were no others.
     pub class: ClassNumber,
     /// Position of its tenant in the settings.
-    pub tenant: u16,
+    pub tenant: TenantNumber,
     /// What it is about.
     pub key: Option<u64>,
     /// Time until the client gives this try up.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -9,11 +9,11 @@
 use crate::api::{
     Action, Backend, BackendId, Class, ClassNumber, DedupGroup, Effect, Event, Learnt, LearntKind,
     Membership, Micros, Outcome, Readiness, Request, RequestId, Senders, Settings, SettingsError, Settled,
-    Tenant,
+    Tenant, TenantNumber,
 };
 use crate::state::{
-    Attempt, AttemptState, Bucket, ColdBudget, CommonLimit, Latency, Open, PeakRate, Pool, Requests, Scope,
-    Server, Window,
+    Attempt, AttemptState, Bucket, Buckets, ColdBudget, CommonLimit, Latency, Open, PeakRate, Pool, Requests,
+    Scope, Server, Window,
 };
 use rustc_hash::{FxHashMap, FxHashSet};
 
@@ -176,7 +176,7 @@
     latencies: Vec<Latency>,
     /// What the servers of each kind of machine take.
     kinds: Vec<CommonLimit>,
-    tenants: Vec<Bucket>,
+    tenants: Buckets,
     retry_tokens: f64,
     /// How long a connection may have rested and is still used, as of a point in time.
     rest: (f64, Micros),
@@ -207,7 +207,8 @@
         let served = PeakRate { count: 0.0, most: 0.0, since: now, peak: 0.0, from: 0.0 };
         let common =
             CommonLimit { limit: INITIAL_LIMIT, growing: true, window, service: 0.0, served, ready: 0.0 };
-        let tenants = settings.tenants.iter().map(|t| Bucket::new(now, t, settings.balancers)).collect();
+        let mut tenants = Buckets::default();
+        tenants.settle(&settings.tenants, |tenant| Bucket::new(now, tenant, settings.balancers));
         Ok(Self {
             in_use: (0..settings.classes.len() as ClassNumber).collect(),
             rng: fastrand::Rng::with_seed(seed),
@@ -357,9 +358,7 @@
         }
         settings.classes = classes;
         let fleet = self.fleet.unwrap_or(settings.balancers).max(1);
-        let spare = settings.tenants.iter().skip(self.tenants.len());
-        self.tenants.extend(spare.map(|t| Bucket::new(now, t, fleet)));
-        self.tenants.truncate(settings.tenants.len());
+        self.tenants.settle(&settings.tenants, |tenant| Bucket::new(now, tenant, fleet));
         (self.latencies, self.settings) = (latencies, settings);
         self.pool.judged_at = None;
         self.count_alike();
@@ -581,7 +580,7 @@
             return;
         }
         let class = (request.class as usize).min(self.settings.classes.len() - 1);
-        let over_share = self.over_share(now, usize::from(request.tenant));
+        let over_share = self.over_share(now, request.tenant);
         let open = Open {
             id: request.id,
             class,
@@ -622,16 +621,15 @@
     /// Whether a tenant is beyond its share; a request within it takes a token. A proxy knows only its own
     /// part of the traffic, and that is more than an even one where others died: a tenant without a token is
     /// over its share only if it also asks for more of its allowance here than the tenants do on the whole.
-    fn over_share(&mut self, now: Micros, tenant: usize) -> bool {
-        let allowance = |tenant: usize| self.settings.tenants[tenant].allowance_per_s;
-        let Some(bucket) = self.tenants.get_mut(tenant) else { return false };
-        let rate = allowance(tenant) / f64::from(self.fleet.unwrap_or(self.settings.balancers).max(1));
+    fn over_share(&mut self, now: Micros, tenant: TenantNumber) -> bool {
+        let Some(bucket) = self.tenants.ask(tenant) else { return false };
+        let allowance = self.settings.tenants[tenant as usize].allowance_per_s;
+        let rate = allowance / f64::from(self.fleet.unwrap_or(self.settings.balancers).max(1));
         if bucket.take(now, rate, rate.max(1.0)) {
             return false;
         }
         let own = bucket.recent(now);
-        let all = self.tenants.iter().map(|b| b.recent(now)).sum::<f64>();
-        own * (0..self.tenants.len()).map(allowance).sum::<f64>() > all * allowance(tenant)
+        own * self.tenants.allowances() > self.tenants.asked_by_all(|bucket| bucket.recent(now)) * allowance
     }
 
     /// Sends a request where there is room, or holds it, or ends it. Departure: where crossing zones is
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -8,6 +8,7 @@
 use super::driver::{Answer, Handle, Inbound, Message};
 use super::pace::{Asking, Pace};
 use super::socket::{Counted, Wire, WireIo};
+use super::tenants::TenantNames;
 use super::{Seldom, Spare};
 use crate::api::{ClassNumber, Effect, Micros, RequestId, Settings};
 use bytes::Bytes;
@@ -25,6 +26,7 @@
 use std::io;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -75,7 +77,7 @@
 /// What the settings in force name.
 struct Table {
     classes: FxHashMap<String, Class>,
-    tenants: FxHashMap<String, u16>,
+    tenants: Arc<TenantNames>,
     longest: Micros,
     /// What a client is told that can't be taken here: another proxy may serve it as soon as it asks there.
     /// 0: the settings allow no word.
@@ -93,7 +95,7 @@
         let classes = settings.classes.iter().zip(numbers).map(|(c, &n)| (c.name.clone(), class(c, n)));
         Self {
             classes: classes.collect(),
-            tenants: names.tenants.iter().cloned().zip(0..).collect(),
+            tenants: Arc::clone(&names.tenants),
             longest: settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default(),
             retry_after: settings.permissions.retry_after.map_or(0, |most| most.min(ELSEWHERE)),
         }
@@ -537,7 +539,7 @@
         }
         let tenant = match text(ACCOUNT) {
             _ if table.tenants.is_empty() => 0,
-            account => *account.and_then(|a| table.tenants.get(a)).ok_or(bad("unknown account\n"))?,
+            account => account.and_then(|a| table.tenants.find(a)).ok_or(bad("unknown account\n"))?,
         };
         let time_left = text(TIME_LEFT).and_then(|v| v.trim().parse::<u64>().ok());
         let time_left = time_left.filter(|&ms| ms <= MOST_TIME_LEFT_MS);
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -2,6 +2,8 @@
 //! `GATESTAGE_CONFIG` may name, and the environment.
 
 use super::log;
+use super::shape::Shape;
+use super::tenants::TenantNames;
 use super::view::{ViewConfig, ViewError};
 use crate::api::{Effect, Micros, Settings, SettingsError};
 use crate::group::{GroupConfig, GroupError};
@@ -9,8 +11,10 @@
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 use serde::Deserialize;
 use serde_json::Value;
+use serde_json::value::RawValue;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::{env, fs, io};
 use thiserror::Error;
 
@@ -88,7 +92,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Names {
     /// Tenants; may be empty.
-    pub tenants: Vec<String>,
+    pub tenants: Arc<TenantNames>,
     /// Zones.
     pub zones: Vec<String>,
     /// Kinds of machines.
@@ -133,12 +137,12 @@
     pub backend_sockets: usize,
     /// How much memory the process may take, in bytes.
     pub memory: usize,
-    /// The keys that another file has to have as well, with their values.
-    keys: Value,
+    /// The keys that another file has to have as well.
+    keys: Shape,
 }
 
 #[derive(Deserialize)]
-struct RawConfig {
+struct RawConfig<'a> {
     #[serde(default)]
     name: Option<String>,
     #[serde(default)]
@@ -155,7 +159,8 @@
     known: Value,
     #[serde(default)]
     state_dir: Option<PathBuf>,
-    settings: Value,
+    #[serde(borrow)]
+    settings: &'a RawValue,
 }
 
 /// The TOML file that `GATESTAGE_CONFIG` names, beside the JSON of `EDGE_CONFIG`: it wins where both say something.
@@ -196,18 +201,12 @@
     memory_mb: Option<usize>,
 }
 
-#[derive(Deserialize)]
-struct Named {
-    #[serde(default)]
-    name: String,
-}
-
 /// The part of the settings that only the sockets need.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct RawNames {
     #[serde(default)]
-    tenants: Vec<Named>,
+    tenants: TenantNames,
     #[serde(default)]
     failure_domains: Vec<String>,
     #[serde(default)]
@@ -278,7 +277,7 @@
     /// Says what is missing or wrong.
     pub fn again_from_env(&self) -> Result<Self, ConfigError> {
         let next = Self::from_env()?;
-        match missing("", &self.keys, &next.keys) {
+        match self.keys.missing_in(&next.keys) {
             None => Ok(next),
             Some(key) => Err(ConfigError::Incomplete(key)),
         }
@@ -297,9 +296,8 @@
         };
         let listen = address("listen", raw.listen, "EDGE_LISTEN")?;
         let discovery = address("discovery", raw.discovery, "EDGE_DISCOVERY")?;
-        let settings = serde_json::to_vec(&raw.settings).map_err(ConfigError::Malformed)?;
-        let more: RawNames = serde_json::from_value(raw.settings).map_err(ConfigError::Malformed)?;
-        let mut settings = parse_settings(&settings)?;
+        let more: RawNames = serde_json::from_str(raw.settings.get()).map_err(ConfigError::Malformed)?;
+        let mut settings = parse_settings(raw.settings.get().as_bytes())?;
         for class in &mut settings.classes {
             if let Effect::Keyed { ttl, .. } = &mut class.effect {
                 *ttl -= KEY_MARGIN.min(*ttl / 4);
@@ -308,7 +306,6 @@
         if let Some(nameless) = settings.classes.iter().position(|c| c.name.is_empty()) {
             return Err(ConfigError::Incomplete(format!("settings.classes[{nameless}].name")));
         }
-        let named = |list: Vec<Named>| list.into_iter().map(|n| n.name).collect();
         let sockets = raw.limits.sockets.unwrap_or(DEFAULT_SOCKETS);
         let (client_sockets, backend_sockets) = shares(sockets);
         Ok(Self {
@@ -326,7 +323,7 @@
             known: raw.known,
             settings,
             names: Names {
-                tenants: named(more.tenants),
+                tenants: Arc::new(more.tenants),
                 zones: more.failure_domains,
                 kinds: more.kinds,
                 report: more.load_report.fields,
@@ -350,36 +347,14 @@
 }
 
 /// The part of a configuration that has to be there again: not what tells one start from another.
-fn keys(text: &[u8]) -> Result<Value, ConfigError> {
-    let mut keys: Value = serde_json::from_slice(text).map_err(ConfigError::Malformed)?;
-    if let Some(object) = keys.as_object_mut() {
-        for name in ["known", "seed", "admin_addr", "state_dir"] {
-            object.remove(name);
-        }
+fn keys(text: &[u8]) -> Result<Shape, ConfigError> {
+    let mut keys: Shape = serde_json::from_slice(text).map_err(ConfigError::Malformed)?;
+    for name in ["known", "seed", "admin_addr", "state_dir"] {
+        keys.remove(name);
     }
     Ok(keys)
 }
 
-/// The first key that an object has and its successor has not, and so for the objects in it. Of a list's objects
-/// each has to have the keys that all had.
-fn missing(path: &str, old: &Value, new: &Value) -> Option<String> {
-    match (old, new) {
-        (Value::Object(old), Value::Object(new)) => old.iter().find_map(|(key, old)| {
-            let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
-            new.get(key).map_or(Some(path.clone()), |new| missing(&path, old, new))
-        }),
-        (Value::Array(old), Value::Array(new)) => {
-            let (first, rest) = old.split_first()?;
-            let mut common = first.as_object()?.clone();
-            common.retain(|key, _| rest.iter().all(|other| other.get(key).is_some()));
-            let common = Value::Object(common);
-            new.iter().enumerate().find_map(|(i, new)| missing(&format!("{path}[{i}]"), &common, new))
-        }
-        (Value::Object(_), _) => Some(path.to_owned()),
-        _ => None,
-    }
-}
-
 /// The seed comes as hexadecimal text; a number is taken as well.
 fn seed(value: &Value) -> u64 {
     let text = value.as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -13,7 +13,9 @@
 pub mod handover;
 pub mod pace;
 pub mod program;
+mod shape;
 pub mod socket;
+pub mod tenants;
 pub mod view;
 
 /// The largest body of a request or an answer that is held whole.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a balancer remembers: plain data for `balancer.rs`, where everything is decided.
 
-use crate::api::{BackendId, Micros, RequestId, Senders};
+use crate::api::{BackendId, Micros, RequestId, Senders, Tenant, TenantNumber};
 use rustc_hash::FxHashMap;
 
 /// The samples of one server since its limit was last judged.
@@ -224,3 +224,53 @@
         &mut self.places[place]
     }
 }
+/// The tenants' buckets, by the tenants' numbers. What all tenants ask for is summed over those that do, not over all.
+#[derive(Default)]
+pub(crate) struct Buckets {
+    buckets: Vec<Bucket>,
+    /// Those that have asked for something, each once; some have faded since.
+    asking: Vec<TenantNumber>,
+    /// What the tenants may ask for together, in requests a second.
+    allowances: f64,
+}
+
+impl Buckets {
+    /// Takes other tenants: those that stay keep their buckets, and each new one gets one.
+    pub(crate) fn settle(&mut self, tenants: &[Tenant], bucket: impl Fn(&Tenant) -> Bucket) {
+        self.buckets.truncate(tenants.len());
+        self.asking.retain(|&tenant| (tenant as usize) < tenants.len());
+        self.buckets.reserve_exact(tenants.len() - self.buckets.len());
+        self.buckets.extend(tenants[self.buckets.len()..].iter().map(bucket));
+        self.allowances = tenants.iter().map(|tenant| tenant.allowance_per_s).sum();
+    }
+
+    /// The bucket of a tenant that asks for something.
+    pub(crate) fn ask(&mut self, tenant: TenantNumber) -> Option<&mut Bucket> {
+        let bucket = self.buckets.get_mut(tenant as usize)?;
+        if bucket.asked == 0.0 {
+            self.asking.push(tenant);
+        }
+        Some(bucket)
+    }
+
+    /// What the tenants may ask for together, in requests a second.
+    pub(crate) fn allowances(&self) -> f64 {
+        self.allowances
+    }
+
+    /// What all tenants have asked for, `recent` of each. A bucket of which nothing is left is looked at no more
+    /// until its tenant asks again.
+    pub(crate) fn asked_by_all(&mut self, recent: impl Fn(&Bucket) -> f64) -> f64 {
+        let mut all = 0.0;
+        self.asking.retain(|&tenant| {
+            let bucket = &mut self.buckets[tenant as usize];
+            let asked = recent(bucket);
+            all += asked;
+            if asked == 0.0 {
+                bucket.asked = 0.0;
+            }
+            asked > 0.0
+        });
+        all
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -103,7 +103,7 @@
         Some(Request {
             id,
             class: class.into(),
-            tenant,
+            tenant: tenant.into(),
             key: (key != 0).then_some(key),
             patience: Micros::from(patience),
             work: work.map(Micros::from),
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -328,6 +328,39 @@
     assert!(held[1] < 60, "the flood gives way: {held:?}");
 }
 
+/// What tenants ask for is summed over those that have asked of late: one whose requests have faded counts no more,
+/// and one that comes back counts once.
+#[test]
+fn a_tenant_counts_toward_what_all_ask_for_as_long_as_its_requests_are_recent() {
+    const LARGE: TenantNumber = 0;
+    const SMALL: TenantNumber = 1;
+    let tenants = vec![Tenant { allowance_per_s: 100.0 }, Tenant { allowance_per_s: 1.0 }];
+    let mut proxy = Proxy::new(Settings { tenants, balancers: 100, ..single_zone() }, one_zone(1));
+    let mut id = 0;
+    // The servers are full by then: a request within its tenant's share is held, one beyond it is refused at once.
+    let mut last_is_refused = |proxy: &mut Proxy, tenant: TenantNumber, times: usize| {
+        let mut last = false;
+        for _ in 0..times {
+            id += 1;
+            last = refused(&proxy.request(Request { tenant, ..request(id, 0) }));
+        }
+        last
+    };
+    let fade = |proxy: &mut Proxy| {
+        proxy.serve(|_| 20 * MS);
+        proxy.advance(10 * SECOND);
+    };
+    // The large tenant has 100 of 101 parts, so it is beyond its share from a hundred requests to each of the small one.
+    last_is_refused(&mut proxy, SMALL, 1);
+    assert!(!last_is_refused(&mut proxy, LARGE, 50), "fifty to one");
+    fade(&mut proxy);
+    assert!(last_is_refused(&mut proxy, LARGE, 50), "the small one's request has faded");
+    fade(&mut proxy);
+    last_is_refused(&mut proxy, SMALL, 1);
+    assert!(!last_is_refused(&mut proxy, LARGE, 50), "it is back");
+    assert!(last_is_refused(&mut proxy, LARGE, 100), "a hundred and fifty to one");
+}
+
 /// Lead of accra-register's first incident: hundreds of ejections and no readmission, as no class there is safe.
 #[test]
 fn a_keyed_request_may_be_the_trial_of_an_ejected_server() {
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -10,6 +10,7 @@
 mod restart;
 mod rig;
 mod sizes;
+mod tenants;
 mod views;
 mod watches;
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -20,7 +20,7 @@
 
 #[derive(Clone, Debug)]
 enum Step {
-    Request { class: u8, tenant: u16, key: u64, patience: Micros },
+    Request { class: u8, tenant: u32, key: u64, patience: Micros },
     Settle { which: usize, outcome: usize },
     Wait(Micros),
     Change { id: BackendId, readiness: u8, restarted: bool },
@@ -32,7 +32,7 @@
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        8 => (0..5_u8, 0..3_u16, 0..9_u64, 1..2000 * MS)
+        8 => (0..5_u8, 0..3_u32, 0..9_u64, 1..2000 * MS)
             .prop_map(|(class, tenant, key, patience)| Step::Request { class, tenant, key, patience }),
         8 => (any::<usize>(), 0..OUTCOMES.len()).prop_map(|(which, outcome)| Step::Settle { which, outcome }),
         4 => (1..400 * MS).prop_map(Step::Wait),
