Take settings with tens of thousands of classes without comparing each with all others

A cold server's budget summed over all classes for each request that looked at it. SIGHUP logged every class by name.

Change: names are checked through a set; classes are found by their name; what was learnt is recalled through a table; the mean over a kind's answers is kept as a sum that each answer changes (Latencies in state.rs); a line of the log has the first 20 classes and how many more there are.

--- a/src/api.rs
+++ b/src/api.rs
@@ -1,6 +1,7 @@
 //! The interface of the decision module: what it is told ([`Settings`], [`Event`]) and what it answers
 //! ([`Action`]). Nothing here does I/O or reads a clock; times come in with each call.
 
+use rustc_hash::FxHashSet;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -201,10 +202,11 @@
         };
         check(self.balancers > 0, "balancers", "there must be at least one")?;
         check(!self.classes.is_empty(), "classes", "there must be at least one")?;
+        let mut names = FxHashSet::default();
         for (i, class) in self.classes.iter().enumerate() {
             let field = |name: &str| format!("classes[{i}].{name}");
-            let namesake = self.classes[..i].iter().any(|c| c.name == class.name && !c.name.is_empty());
-            check(!namesake, &field("name"), "is that of another class")?;
+            let is_new = class.name.is_empty() || names.insert(&class.name);
+            check(is_new, &field("name"), "is that of another class")?;
             check(class.aim > 0, &field("aim"), "must be above 0")?;
             check(class.deadline >= class.aim, &field("deadline"), "must not be under the aim")?;
             check(class.worth.is_finite() && class.worth >= 0.0, &field("worth"), "must be 0 or more")?;
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -12,8 +12,8 @@
     Tenant, TenantNumber,
 };
 use crate::state::{
-    Attempt, AttemptState, Bucket, Buckets, ColdBudget, CommonLimit, Latency, Open, PeakRate, Pool, Requests,
-    Scope, Server, Window,
+    Attempt, AttemptState, Bucket, Buckets, ColdBudget, CommonLimit, Latencies, Latency, Open, PeakRate,
+    Pool, Requests, Scope, Server, Window,
 };
 use rustc_hash::{FxHashMap, FxHashSet};
 
@@ -173,7 +173,7 @@
     open: Requests,
     held: Vec<usize>,
     in_flight: u32,
-    latencies: Vec<Latency>,
+    latencies: Latencies,
     /// What the servers of each kind of machine take.
     kinds: Vec<CommonLimit>,
     tenants: Buckets,
@@ -202,7 +202,8 @@
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Self, SettingsError> {
         settings.validate()?;
         let kinds = usize::from(settings.kinds).max(1);
-        let latencies = settings.classes.iter().flat_map(|c| vec![Latency::expected(c); kinds]).collect();
+        let mut latencies = Latencies::of_kinds(kinds);
+        settings.classes.iter().for_each(|class| latencies.push(Latency::expected(class)));
         let window = Window { since: now, ..Window::default() };
         let served = PeakRate { count: 0.0, most: 0.0, since: now, peak: 0.0, from: 0.0 };
         let common =
@@ -267,10 +268,9 @@
     #[must_use]
     pub fn learnt(&self) -> Learnt {
         let kind = |k: &CommonLimit| LearntKind { limit: k.limit, growing: k.growing, served: k.served.peak };
-        let kinds = self.kinds.len();
         let mean = |class: &ClassNumber| {
             let class = *class as usize;
-            let latencies = self.latencies[class * kinds..(class + 1) * kinds].iter().map(|l| l.mean);
+            let latencies = self.latencies.of(class).iter().map(|l| l.mean);
             (self.settings.classes[class].name.clone(), latencies.collect())
         };
         Learnt {
@@ -289,13 +289,13 @@
             common.growing = told.growing;
             common.served.peak = if sound(told.served) { told.served } else { 0.0 };
         }
-        let kinds = self.kinds.len();
-        for (class, latencies) in self.settings.classes.iter().zip(self.latencies.chunks_mut(kinds)) {
-            let Some((_, told)) = learnt.latencies.iter().find(|(name, _)| *name == class.name) else {
-                continue;
-            };
-            for (latency, &mean) in latencies.iter_mut().zip(told).filter(|(_, mean)| sound(**mean)) {
-                *latency = Latency { count: 1, mean };
+        let told: FxHashMap<_, _> =
+            learnt.latencies.iter().rev().map(|(name, means)| (name, means)).collect();
+        for (number, class) in self.settings.classes.iter().enumerate() {
+            let means =
+                told.get(&class.name).into_iter().flat_map(|means| means.iter()).take(self.kinds.len());
+            for (kind, &mean) in means.enumerate().filter(|(_, mean)| sound(**mean)) {
+                self.latencies.update(number, kind, |latency| *latency = Latency { count: 1, mean });
             }
         }
         self.recalled = learnt.limits.iter().copied().filter(|(_, limit)| sound(*limit)).collect();
@@ -333,25 +333,28 @@
     /// each request keeps its class: classes are only added, and one whose figures are others is another
     /// class, with the latencies of its namesake to start from. Kinds and zones keep their numbers.
     fn on_settings(&mut self, now: Micros, new: &Settings, out: &mut Vec<Action>) {
-        let old_kinds = self.kinds.len();
         let mut settings = new.clone();
         settings.kinds = new.kinds.max(self.settings.kinds);
         let mut common = self.kinds[0].clone();
         (common.limit, common.growing, common.ready) = (INITIAL_LIMIT, true, 0.0);
         self.kinds.resize(usize::from(settings.kinds).max(1), common);
         let mut classes = std::mem::take(&mut self.settings.classes);
-        let kinds = self.kinds.len();
-        let known = |class: usize, kind: usize| self.latencies[class * old_kinds + kind.min(old_kinds - 1)];
-        let mut latencies: Vec<Latency> =
-            (0..classes.len()).flat_map(|class| (0..kinds).map(move |kind| known(class, kind))).collect();
+        self.latencies.extend_kinds(self.kinds.len());
+        let mut namesakes: FxHashMap<String, Vec<usize>> = FxHashMap::default();
+        for (number, class) in classes.iter().enumerate() {
+            namesakes.entry(class.name.clone()).or_default().push(number);
+        }
         self.in_use.clear();
         for class in &new.classes {
-            let number = classes.iter().position(|c| c == class).unwrap_or(classes.len());
-            if number == classes.len() {
-                let namesake = classes.iter().rposition(|c| c.name == class.name);
-                let start = |kind| namesake.map_or(Latency::expected(class), |n| latencies[n * kinds + kind]);
-                let starts: Vec<_> = (0..kinds).map(start).collect();
-                latencies.extend(starts);
+            let namesakes = namesakes.entry(class.name.clone()).or_default();
+            let known = namesakes.iter().copied().find(|&number| classes[number] == *class);
+            let number = known.unwrap_or(classes.len());
+            if known.is_none() {
+                match namesakes.last() {
+                    Some(&namesake) => self.latencies.push_copy(namesake),
+                    None => self.latencies.push(Latency::expected(class)),
+                }
+                namesakes.push(number);
                 classes.push(class.clone());
             }
             self.in_use.push(number as ClassNumber);
@@ -359,7 +362,7 @@
         settings.classes = classes;
         let fleet = self.fleet.unwrap_or(settings.balancers).max(1);
         self.tenants.settle(&settings.tenants, |tenant| Bucket::new(now, tenant, fleet));
-        (self.latencies, self.settings) = (latencies, settings);
+        self.settings = settings;
         self.pool.judged_at = None;
         self.count_alike();
         self.serve_held(now, out);
@@ -790,8 +793,7 @@
 
     /// A class's mean latency over the kinds of machines.
     fn mean(&self, class: usize) -> f64 {
-        let kinds = self.kinds.len();
-        self.latencies[class * kinds..(class + 1) * kinds].iter().map(|l| l.mean).sum::<f64>() / kinds as f64
+        self.latencies.of(class).iter().map(|l| l.mean).sum::<f64>() / self.kinds.len() as f64
     }
 
     fn overdue(&self, class: usize) -> Micros {
@@ -891,11 +893,7 @@
         // Where over half have left it is no measure of the few; up to there the margin covers it.
         let alike = if *ready > 0.0 { *ready } else { 1.0 };
         let bank = served.peak * f64::from(self.settings.balancers) / alike.max((served.from / 2.0).floor());
-        // Each class counts as often as its answers came.
-        let weight = |l: &Latency| f64::from(l.count.max(1));
-        let classes = self.latencies.iter().skip(kind).step_by(self.kinds.len());
-        let (sum, count) = classes.fold((0.0, 0.0), |(sum, n), l| (sum + l.mean * weight(l), n + weight(l)));
-        let single = SECOND as f64 * count / sum;
+        let single = SECOND as f64 / self.latencies.mean_of_answers(kind);
         let share = server.cold_share(&self.settings) / f64::from(self.processes);
         let rate = (safety.fall_multiple * COLD_MARGIN).min(1.0) * part * bank.max(single) * share;
         (cold.tokens + rate * (now - cold.filled_at) as f64 / SECOND as f64).min(1.0_f64.max(rate / 4.0))
@@ -1008,10 +1006,8 @@
     /// What an outcome tells of its server.
     fn observe(&mut self, now: Micros, class: usize, to: Attempt, end: &Settled<'_>, out: &mut Vec<Action>) {
         let index = to.server;
-        let kinds = self.kinds.len();
         let server = &mut self.servers[index];
         let kind = usize::from(server.kind);
-        let latency = &mut self.latencies[class * kinds + kind];
         let elapsed = end.elapsed as f64;
         if to.uploading {
             server.uploads = server.uploads.saturating_sub(1);
@@ -1039,7 +1035,7 @@
         };
         let failed = match end.outcome {
             Outcome::Ok => {
-                latency.add(elapsed);
+                self.latencies.update(class, kind, |latency| latency.add(elapsed));
                 let listed = self.kinds[kind].ready;
                 self.kinds[kind].served.add(now, listed);
                 server.silent_since = now;
@@ -1050,7 +1046,7 @@
             Outcome::Timeout | Outcome::Cancelled => silent,
             Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => true,
             Outcome::Full => {
-                server.full_until = now + latency.mean as Micros;
+                server.full_until = now + self.latencies.of(class)[kind].mean as Micros;
                 false
             }
             Outcome::Moot => false,
--- a/src/proxy/handover.rs
+++ b/src/proxy/handover.rs
@@ -21,7 +21,7 @@
 use crate::api::{Learnt, LearntKind};
 use crate::group::{Copied, CopyError, Group};
 use crate::store::Store;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg, sockopt::socket_acceptconn,
@@ -266,7 +266,8 @@
         if theirs.zone != mine.zone {
             return Err(Foreign::Zone(theirs.zone, mine.zone.clone()));
         }
-        if !theirs.classes.iter().any(|class| mine.classes.contains(class)) {
+        let known: FxHashSet<&String> = mine.classes.iter().collect();
+        if !theirs.classes.iter().any(|class| known.contains(class)) {
             return Err(Foreign::Classes(theirs.classes));
         }
         // Settings without kinds have one, which has no name.
--- a/src/proxy/program.rs
+++ b/src/proxy/program.rs
@@ -1,5 +1,6 @@
 //! One real proxy: start-up, signals, exit code. Both `gatestage proxy` and `haventrack-proxy` run it.
 
+use crate::api::Class;
 use crate::balancer::Balancer;
 use crate::proxy::admin::Operations;
 use crate::proxy::backends::Fleet;
@@ -23,6 +24,8 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::LocalSet;
 
+/// Classes that a line of the log has by their names.
+const LOGGED_CLASSES: usize = 20;
 /// The kernel's queue of connections that are not accepted yet.
 const BACKLOG: u32 = 1_024;
 
@@ -51,6 +54,16 @@
     Ok((listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?, None))
 }
 
+/// The classes as a line of the log has them: the first ones by name, and how many more there are.
+fn named_classes(classes: &[Class]) -> String {
+    let names: Vec<_> = classes.iter().take(LOGGED_CLASSES).map(|class| class.name.as_str()).collect();
+    let names = names.join(", ");
+    match classes.len().saturating_sub(LOGGED_CLASSES) {
+        0 => format!("classes {names}"),
+        more => format!("classes {names} and {more} more"),
+    }
+}
+
 /// The signals that the proxy takes while it runs.
 struct Signals {
     stop: Signal,
@@ -82,8 +95,7 @@
         let report = config.names.report.clone();
         self.fleet.retune(config.dial_timeout, config.settings.permissions.conn_idle, report);
         self.discovery.send_replace(Source::of(&config));
-        let classes: Vec<_> = config.settings.classes.iter().map(|c| c.name.as_str()).collect();
-        log(format_args!("SIGHUP: new configuration in force, classes {}", classes.join(", ")));
+        log(format_args!("SIGHUP: new configuration in force, {}", named_classes(&config.settings.classes)));
         self.config = config;
         Ok(())
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -154,6 +154,84 @@
     pub(crate) mean: f64,
 }
 
+impl Latency {
+    /// How much a class counts beside others: as often as its answers came.
+    fn weight(self) -> f64 {
+        f64::from(self.count.max(1))
+    }
+}
+
+/// The latencies of all classes on each kind of machine. The mean over all classes costs the same however many there
+/// are.
+pub(crate) struct Latencies {
+    kinds: usize,
+    /// By class, then by kind.
+    latencies: Vec<Latency>,
+    /// For each kind the sum of the classes' means, each by its weight, and that of the weights.
+    sums: Vec<(f64, f64)>,
+}
+
+impl Latencies {
+    /// No class yet, on so many kinds of machines.
+    pub(crate) fn of_kinds(kinds: usize) -> Self {
+        Self { kinds, latencies: Vec::new(), sums: vec![(0.0, 0.0); kinds] }
+    }
+
+    /// Adds a class whose latency is the same on each kind.
+    pub(crate) fn push(&mut self, latency: Latency) {
+        for sum in &mut self.sums {
+            add(sum, latency, 1.0);
+            self.latencies.push(latency);
+        }
+    }
+
+    /// Adds a class with the latencies of another one.
+    pub(crate) fn push_copy(&mut self, class: usize) {
+        for kind in 0..self.kinds {
+            let latency = self.latencies[class * self.kinds + kind];
+            add(&mut self.sums[kind], latency, 1.0);
+            self.latencies.push(latency);
+        }
+    }
+
+    /// Takes more kinds, on which each class has the latency of the last kind there was.
+    pub(crate) fn extend_kinds(&mut self, kinds: usize) {
+        let old = std::mem::replace(self, Self::of_kinds(kinds));
+        for class in old.latencies.chunks(old.kinds) {
+            for kind in 0..kinds {
+                let latency = class[kind.min(old.kinds - 1)];
+                add(&mut self.sums[kind], latency, 1.0);
+                self.latencies.push(latency);
+            }
+        }
+    }
+
+    /// A class's latencies, one for each kind.
+    pub(crate) fn of(&self, class: usize) -> &[Latency] {
+        &self.latencies[class * self.kinds..(class + 1) * self.kinds]
+    }
+
+    /// Changes a class's latency on a kind.
+    pub(crate) fn update(&mut self, class: usize, kind: usize, change: impl FnOnce(&mut Latency)) {
+        let latency = &mut self.latencies[class * self.kinds + kind];
+        add(&mut self.sums[kind], *latency, -1.0);
+        change(latency);
+        add(&mut self.sums[kind], *latency, 1.0);
+    }
+
+    /// The mean latency of a kind's answers over all classes.
+    pub(crate) fn mean_of_answers(&self, kind: usize) -> f64 {
+        let (sum, weights) = self.sums[kind];
+        sum / weights
+    }
+}
+
+/// Adds a latency to a kind's sums, or takes it away.
+fn add((sum, weights): &mut (f64, f64), latency: Latency, sign: f64) {
+    *sum += sign * latency.mean * latency.weight();
+    *weights += sign * latency.weight();
+}
+
 pub(crate) struct Bucket {
     pub(crate) tokens: f64,
     pub(crate) at: Micros,
@@ -161,6 +239,57 @@
     pub(crate) asked: f64,
 }
 
+/// The tenants' buckets, by the tenants' numbers. What all tenants ask for is summed over those that do, not over all.
+#[derive(Default)]
+pub(crate) struct Buckets {
+    buckets: Vec<Bucket>,
+    /// Those that have asked for something, each once; some have faded since.
+    asking: Vec<TenantNumber>,
+    /// What the tenants may ask for together, in requests a second.
+    allowances: f64,
+}
+
+impl Buckets {
+    /// Takes other tenants: those that stay keep their buckets, and each new one gets one.
+    pub(crate) fn settle(&mut self, tenants: &[Tenant], bucket: impl Fn(&Tenant) -> Bucket) {
+        self.buckets.truncate(tenants.len());
+        self.asking.retain(|&tenant| (tenant as usize) < tenants.len());
+        self.buckets.reserve_exact(tenants.len() - self.buckets.len());
+        self.buckets.extend(tenants[self.buckets.len()..].iter().map(bucket));
+        self.allowances = tenants.iter().map(|tenant| tenant.allowance_per_s).sum();
+    }
+
+    /// The bucket of a tenant that asks for something.
+    pub(crate) fn ask(&mut self, tenant: TenantNumber) -> Option<&mut Bucket> {
+        let bucket = self.buckets.get_mut(tenant as usize)?;
+        if bucket.asked == 0.0 {
+            self.asking.push(tenant);
+        }
+        Some(bucket)
+    }
+
+    /// What the tenants may ask for together, in requests a second.
+    pub(crate) fn allowances(&self) -> f64 {
+        self.allowances
+    }
+
+    /// What all tenants have asked for, `recent` of each. A bucket of which nothing is left is looked at no more
+    /// until its tenant asks again.
+    pub(crate) fn asked_by_all(&mut self, recent: impl Fn(&Bucket) -> f64) -> f64 {
+        let mut all = 0.0;
+        self.asking.retain(|&tenant| {
+            let bucket = &mut self.buckets[tenant as usize];
+            let asked = recent(bucket);
+            all += asked;
+            if asked == 0.0 {
+                bucket.asked = 0.0;
+            }
+            asked > 0.0
+        });
+        all
+    }
+}
+
 /// Events a second: the best four seconds so far, fading. A single second of a small proxy says too much.
 #[derive(Clone)]
 pub(crate) struct PeakRate {
@@ -224,53 +353,3 @@
         &mut self.places[place]
     }
 }
-/// The tenants' buckets, by the tenants' numbers. What all tenants ask for is summed over those that do, not over all.
-#[derive(Default)]
-pub(crate) struct Buckets {
-    buckets: Vec<Bucket>,
-    /// Those that have asked for something, each once; some have faded since.
-    asking: Vec<TenantNumber>,
-    /// What the tenants may ask for together, in requests a second.
-    allowances: f64,
-}
-
-impl Buckets {
-    /// Takes other tenants: those that stay keep their buckets, and each new one gets one.
-    pub(crate) fn settle(&mut self, tenants: &[Tenant], bucket: impl Fn(&Tenant) -> Bucket) {
-        self.buckets.truncate(tenants.len());
-        self.asking.retain(|&tenant| (tenant as usize) < tenants.len());
-        self.buckets.reserve_exact(tenants.len() - self.buckets.len());
-        self.buckets.extend(tenants[self.buckets.len()..].iter().map(bucket));
-        self.allowances = tenants.iter().map(|tenant| tenant.allowance_per_s).sum();
-    }
-
-    /// The bucket of a tenant that asks for something.
-    pub(crate) fn ask(&mut self, tenant: TenantNumber) -> Option<&mut Bucket> {
-        let bucket = self.buckets.get_mut(tenant as usize)?;
-        if bucket.asked == 0.0 {
-            self.asking.push(tenant);
-        }
-        Some(bucket)
-    }
-
-    /// What the tenants may ask for together, in requests a second.
-    pub(crate) fn allowances(&self) -> f64 {
-        self.allowances
-    }
-
-    /// What all tenants have asked for, `recent` of each. A bucket of which nothing is left is looked at no more
-    /// until its tenant asks again.
-    pub(crate) fn asked_by_all(&mut self, recent: impl Fn(&Bucket) -> f64) -> f64 {
-        let mut all = 0.0;
-        self.asking.retain(|&tenant| {
-            let bucket = &mut self.buckets[tenant as usize];
-            let asked = recent(bucket);
-            all += asked;
-            if asked == 0.0 {
-                bucket.asked = 0.0;
-            }
-            asked > 0.0
-        });
-        all
-    }
-}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -361,6 +361,28 @@
     assert!(last_is_refused(&mut proxy, LARGE, 100), "a hundred and fifty to one");
 }
 
+/// Each class was compared with all others: at 44,000 classes a new configuration stopped the proxy for seconds.
+#[test]
+fn new_settings_with_tens_of_thousands_of_classes_are_taken_without_a_stop() {
+    const CLASSES: usize = 44_000;
+    const SHORT: std::time::Duration = std::time::Duration::from_secs(5);
+    let named = |number| Class { name: format!("route-{number:05}"), ..class(Effect::Safe) };
+    let mut settings = Settings { classes: (0..CLASSES).map(named).collect(), ..single_zone() };
+    let began = std::time::Instant::now();
+    let mut proxy = Proxy::new(settings.clone(), one_zone(2));
+    settings.classes[CLASSES - 1].aim /= 2;
+    settings.classes.swap(0, 1);
+    settings.validate().expect("settings that make sense");
+    proxy.event(Event::Settings(&settings));
+    assert!(began.elapsed() < SHORT, "{:?}", began.elapsed());
+    // The figures of the last one changed, and it is another class; the first two changed places.
+    assert_eq!(proxy.balancer.classes()[..3], [1, 0, 2]);
+    assert_eq!(proxy.balancer.classes()[CLASSES - 1] as usize, CLASSES);
+    settings.classes[7].name = "route-00008".to_owned();
+    let error = settings.validate().expect_err("two classes of one name");
+    assert!(error.to_string().contains("classes[8].name"), "{error}");
+}
+
 /// Lead of accra-register's first incident: hundreds of ejections and no readmission, as no class there is safe.
 #[test]
 fn a_keyed_request_may_be_the_trial_of_an_ejected_server() {
