Split the handover into modules, and let one grammar of names serve list service and proxy

What earlier work left: src/proxy/handover.rs had 722 lines with five jobs, under names of its own (Legacy, Estate, Company, Keeper); the grammar of names and the choice of services stood in src/proxy/view.rs and src/registry/name.rs, the numbers of a backend's senders in src/api.rs and src/registry/entry.rs.

An error in [view] now comes from the TOML reader with its line. The cases of tests/proxy/views.rs are the same; each now wants the line or key, the reason and the file, where it wanted the reason and the file. No other behaviour changes.

--- a/benches/capacity/registry/hollow.rs
+++ b/benches/capacity/registry/hollow.rs
@@ -4,6 +4,7 @@
 use super::members::{SERVICE, ZONES, proxy_name, proxy_zone};
 use haventrack::api::BackendId;
 use haventrack::balancer::Balancer;
+use haventrack::names::{Name, ServiceSelection};
 use haventrack::proxy::backends::Fleet;
 use haventrack::proxy::bodies::Transfers;
 use haventrack::proxy::clock::Clock;
@@ -103,6 +104,12 @@
     _sources: watch::Sender<Source>,
 }
 
+/// The view that a proxy asks for.
+fn view_of(number: usize) -> Result<ViewConfig, Box<dyn Error>> {
+    let services = ServiceSelection::try_from(vec![SERVICE.to_owned()])?;
+    Ok(ViewConfig { proxy: Name::try_from(proxy_name(number))?, services })
+}
+
 impl Hollow {
     fn start(bank: &Bank, number: usize) -> Result<Self, Box<dyn Error>> {
         let config = Config::parse(configuration(bank, number).to_string().as_bytes(), |_| None)?;
@@ -123,8 +130,7 @@
         let held = Rc::new(Cell::new(false));
         let translator = Translator::new(clock, &config.names, Rc::clone(&numbers));
         let subscriptions = asked.then_some(subscriptions);
-        let view =
-            bank.view.then(|| ViewConfig { proxy: proxy_name(number), services: vec![SERVICE.to_owned()] });
+        let view = if bank.view { Some(view_of(number)?) } else { None };
         let source = Source { view, ..Source::of(&config) };
         let shared = Rc::clone(&held);
         let mut watcher =
--- a/src/api.rs
+++ b/src/api.rs
@@ -241,10 +241,10 @@
 /// How many proxies may send to a backend, where each proxy's list is a subset.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Senders {
-    /// Those in the backend's own zone.
-    pub local: u32,
     /// Those of all zones.
     pub all: u32,
+    /// Those in the backend's own zone.
+    pub local: u32,
 }
 
 /// A backend as discovery lists it.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod api;
 pub mod balancer;
 pub mod group;
+pub mod names;
 pub mod proxy;
 pub mod registry;
 pub mod rig;
--- a/src/proxy/discovery/entries.rs
+++ b/src/proxy/discovery/entries.rs
@@ -186,7 +186,7 @@
     let senders = Option::<Senders>::deserialize(&raw.senders)
         .map_err(|source| EntryError::SendersShape { id: raw.id.clone(), source })?;
     match senders {
-        Some(Senders { local, all }) if all == 0 || local > all => {
+        Some(Senders { all, local }) if all == 0 || local > all => {
             Err(EntryError::Senders { id: raw.id.clone(), local, all })
         }
         senders => Ok(senders),
--- a/src/proxy/program.rs
+++ b/src/proxy/program.rs
@@ -11,7 +11,7 @@
 use crate::proxy::discovery::{Numbers, Source, Translator, Watcher};
 use crate::proxy::drain::Drain;
 use crate::proxy::driver::{Driver, Handle, Limits, Message};
-use crate::proxy::handover::{self, Bans, Company, Estate, Held, Keeper, Owner, Predecessor};
+use crate::proxy::handover::{self, Bans, Held, Owner, Predecessor, Siblings, StateKeeper, StateSource};
 use crate::proxy::{Spare, log};
 use std::cell::{Cell, RefCell};
 use std::env;
@@ -134,7 +134,7 @@
     let store = config.state_dir.as_deref().map(handover::state_store).transpose()?;
     // What a predecessor hands over is newer than any snapshot, which is read only where none did.
     let owner = Owner::of(&config);
-    let handed = predecessor.as_mut().and_then(|other| other.legacy(&owner)).map(|legacy| (legacy, 0));
+    let handed = predecessor.as_mut().and_then(|other| other.state(&owner)).map(|state| (state, 0));
     let restored = store.as_ref().filter(|_| predecessor.is_none());
     let restored = restored.and_then(|store| handover::restore(store, &owner, group.is_some()));
     // A machine that lost its disk goes on from the copy that its peers hold.
@@ -144,15 +144,16 @@
         }
         _ => restored,
     };
-    if let Some((legacy, age)) = handed.or(restored) {
-        balancer.recall_aged(&legacy.learnt, age);
-        legacy.names.iter().for_each(|name| _ = numbers.borrow_mut().number(name));
+    if let Some((state, age)) = handed.or(restored) {
+        balancer.recall_aged(&state.learnt, age);
+        state.names.iter().for_each(|name| _ = numbers.borrow_mut().number(name));
     }
     let (driver, handle) = Driver::new(balancer, clock, Rc::clone(&fleet), limits, subscribe);
     let owner = Rc::new(RefCell::new(owner));
-    let estate = Estate { handle: handle.clone(), numbers: Rc::clone(&numbers), owner: Rc::clone(&owner) };
-    let keeper =
-        (store.is_some() || group.is_some()).then(|| Keeper::new(store, group.clone(), estate.clone()));
+    let state_source =
+        StateSource { handle: handle.clone(), numbers: Rc::clone(&numbers), owner: Rc::clone(&owner) };
+    let keeper = (store.is_some() || group.is_some())
+        .then(|| StateKeeper::new(store, group.clone(), state_source.clone()));
     let held = Rc::new(Cell::new(false));
     let translator = Translator::new(clock, &config.names, Rc::clone(&numbers));
     let subscriptions = asked.then_some(subscriptions);
@@ -181,7 +182,7 @@
     let (door, both) = (Rc::clone(&listener), (Rc::clone(&clients), Rc::clone(&fleet)));
     let mark = handover::mark(&config.name, listener.local_addr()?);
     let socket = handover::socket(&env::temp_dir(), &mark);
-    let company = Company::new(socket, door, estate, both.0, both.1, most);
+    let siblings = Siblings::new(socket, door, state_source, both.0, both.1, most);
 
     let mut driver = tokio::task::spawn_local(driver.run());
     let (discovery, moves) = watch::channel(source);
@@ -206,8 +207,8 @@
         let listener = listen(address, false).map_err(|e| format!("cannot listen on {address}: {e}"))?;
         log(format_args!("operators call at {}", listener.local_addr()?));
         tokio::task::spawn_local(operations.serve(listener, spare));
-        predecessor.into_iter().for_each(|other| company.follow(other));
-        tokio::task::spawn_local(Rc::clone(&company).serve());
+        predecessor.into_iter().for_each(|other| siblings.follow(other));
+        tokio::task::spawn_local(Rc::clone(&siblings).serve());
     }
     let mut settled = Settled { clients: Rc::clone(&clients), fleet, handle, discovery, owner, config };
     loop {
@@ -217,7 +218,7 @@
                 log(format_args!("SIGHUP changes nothing: {error}"));
             },
             _ = signals.stop.recv() => {
-                let replaced = company.has_successor();
+                let replaced = siblings.has_successor();
                 if replaced {
                     accept.abort();
                 }
--- a/src/registry/config.rs
+++ b/src/registry/config.rs
@@ -1,7 +1,7 @@
 //! The list service's TOML file and its checks.
 
 use super::error::{Kind, RegistryError};
-use super::name::{Name, ServiceSelection};
+use crate::names::{Name, ServiceSelection};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
--- a/src/registry/contents.rs
+++ b/src/registry/contents.rs
@@ -1,7 +1,7 @@
 //! What a file says, in order and shared: the services, the proxies and the members.
 
 use super::config::{Config, Member, Proxy, Service};
-use super::name::{Name, ServiceSelection};
+use crate::names::{Name, ServiceSelection};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
--- a/src/registry/entry.rs
+++ b/src/registry/entry.rs
@@ -3,6 +3,7 @@
 //! Keys stand in alphabetical order.
 
 use super::config::Member;
+use crate::api::Senders;
 use serde::Serialize;
 use std::fmt::Write;
 use std::sync::Arc;
@@ -12,15 +13,6 @@
 /// The phase of a member that is gone.
 const LEFT: &str = "left";
 
-/// How many proxies hold a member.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-pub struct Senders {
-    /// Those of all zones.
-    pub all: u32,
-    /// Those of the member's zone.
-    pub local: u32,
-}
-
 /// A member as a list or a watch tells it.
 #[derive(Debug)]
 pub struct Entry {
--- a/src/registry/error.rs
+++ b/src/registry/error.rs
@@ -1,6 +1,6 @@
 //! What can go wrong with the list service, and what an operator can do about it.
 
-use super::name::{Name, NameError, SelectionError};
+use crate::names::{Name, NameError, SelectionError};
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -12,7 +12,6 @@
 mod entry;
 mod error;
 mod list;
-mod name;
 mod query;
 mod service;
 mod store;
@@ -20,10 +19,11 @@
 mod views;
 mod watchers;
 
+pub use crate::api::Senders;
+pub use crate::names::{LONGEST_NAME, Name, NameError, SelectionError, ServiceSelection};
 pub use config::{Config, Member, Proxy, ProxyPhase, Service};
-pub use entry::{Answer, Entry, Senders};
+pub use entry::{Answer, Entry};
 pub use error::{Kind, QueryError, RegistryError, ViewError};
-pub use name::{LONGEST_NAME, Name, NameError, SelectionError, ServiceSelection};
 pub use query::{LONGEST_WAIT_MS, Query, Scope, ViewScope};
 pub use store::{News, Store};
 
--- a/src/registry/query.rs
+++ b/src/registry/query.rs
@@ -1,7 +1,7 @@
 //! The parameters of a call: `after`, `wait_ms`, `proxy` and `service`.
 
 use super::error::QueryError;
-use super::name::{Name, ServiceSelection};
+use crate::names::{Name, ServiceSelection};
 use std::time::Duration;
 
 /// The longest a watch waits, in milliseconds; longer `wait_ms` are cut to it, as the protocol says.
--- a/src/registry/service.rs
+++ b/src/registry/service.rs
@@ -1,10 +1,11 @@
 //! What each proxy holds of one service, and how that changes.
 
 use super::config::{Member, Proxy, Service};
-use super::entry::{Entry, Senders};
+use super::entry::Entry;
 use super::list::{Step, WatchedList};
-use super::name::Name;
 use super::subset::{Assignment, Candidate, MemberIndex, Policy, ProxyIndex, Target};
+use crate::api::Senders;
+use crate::names::Name;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
--- a/src/registry/views.rs
+++ b/src/registry/views.rs
@@ -5,9 +5,9 @@
 use super::entry::Entry;
 use super::error::ViewError;
 use super::list::{LatestChanges, Step, WatchedList};
-use super::name::{Name, ServiceSelection};
 use super::query::ViewScope;
 use super::service::ServiceViews;
+use crate::names::{Name, ServiceSelection};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
--- a/src/registry/watchers.rs
+++ b/src/registry/watchers.rs
@@ -1,8 +1,8 @@
 //! Whom a change wakes: the watches of the whole list, and those of each proxy's view.
 
-use super::name::Name;
 use super::query::Scope;
 use super::store::{News, Store};
+use crate::names::Name;
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard};
 use tokio::sync::watch;
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -6,7 +6,7 @@
 mod rig;
 
 use haventrack::group::{COPY_CAP, Copied};
-use haventrack::proxy::handover::{LEGACY_VERSION, Legacy};
+use haventrack::proxy::handover::{STATE_VERSION, SavedState};
 use haventrack::store::PUBLISH_SYNCED;
 use hdrhistogram::Histogram;
 use rig::{Backend, Discovery, PATIENCE, entry, ok, read_message, request};
@@ -708,7 +708,7 @@
     fn copy(&self, keeper: usize, identity: &str) -> Option<(Copied, f64)> {
         let seen = self.post(keeper, "kept", (0, identity), &[]);
         let copy: Copied = postcard::from_bytes::<Option<Copied>>(&seen.body).ok()??;
-        let legacy: Legacy = postcard::from_bytes(&copy.state).expect("a state");
+        let legacy: SavedState = postcard::from_bytes(&copy.state).expect("a state");
         let limit = legacy.learnt.kinds.first().map_or(0.0, |kind| kind.limit);
         Some((copy, limit))
     }
@@ -758,7 +758,7 @@
 fn copies_that_cannot_be_used_are_refused_and_without_keepers_the_start_is_cold_and_soon() {
     let mut three = Three::start("refused");
     let of_version = |version: u16, written_ms: u64| {
-        let state = postcard::to_stdvec(&Legacy::default()).expect("a state");
+        let state = postcard::to_stdvec(&SavedState::default()).expect("a state");
         postcard::to_stdvec(&Copied { version, written_ms, state }).expect("a copy")
     };
     // As above: a keeper's word may come too late.
@@ -771,12 +771,12 @@
         assert!(three.copy(1, &identity).is_some(), "the copy before stays");
         assert_eq!(three.post(1, "keep", me, &[1]).status(), 400, "a copy of one byte");
         assert_eq!(three.post(1, "keep", me, &of_version(99, 1)).status(), 200);
-        assert_eq!(three.post(2, "keep", me, &of_version(LEGACY_VERSION, u64::MAX >> 8)).status(), 200);
+        assert_eq!(three.post(2, "keep", me, &of_version(STATE_VERSION, u64::MAX >> 8)).status(), 200);
         three.machines[0].lose_disk();
         let missing = three.start_first();
         assert_eq!(missing["event"], "copy_missing", "{missing}");
         let why = |keeper: &str| missing["keepers"][keeper].as_str().unwrap_or_default().to_owned();
-        why("p-1").contains(&format!("version 99, this program reads {LEGACY_VERSION}"))
+        why("p-1").contains(&format!("version 99, this program reads {STATE_VERSION}"))
             && why("p-2").contains("set the clocks")
     });
     refused.expect("one start of five hears both keepers");
--- a/tests/proxy/customers.rs
+++ b/tests/proxy/customers.rs
@@ -4,7 +4,7 @@
 use haventrack::api::{Learnt, LearntKind, Settings};
 use haventrack::balancer::Balancer;
 use haventrack::proxy::config::Config;
-use haventrack::proxy::handover::{Foreign, Legacy, Owner, mark, socket, state_store};
+use haventrack::proxy::handover::{ForeignState, Owner, SavedState, mark, socket, state_store};
 use haventrack::store::Store;
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
@@ -34,18 +34,18 @@
 }
 
 /// What a proxy of that configuration has learnt: 40 of its first kind, 2 of its second, and so on downwards.
-fn state(config: &Value) -> Legacy {
+fn state(config: &Value) -> SavedState {
     let owner = Owner::of(&parsed(config));
     let kinds = owner.kinds.len();
     let limits: Vec<_> = [40.0, 2.0, 9.0][..kinds].iter().map(|&limit| kind(limit)).collect();
     let means = [80_000.0, 5_000.0, 20_000.0][..kinds].to_vec();
     let latencies = owner.classes.iter().map(|class| (class.clone(), means.clone())).collect();
     let learnt = Learnt { kinds: limits, limits: Vec::new(), latencies };
-    Legacy { owner: Some(owner), names: vec!["s-old".into()], learnt }
+    SavedState { owner: Some(owner), names: vec!["s-old".into()], learnt }
 }
 
 /// The limits of its kinds that a module with these settings has once it has taken that.
-fn limits_after(settings: &Settings, legacy: &Legacy, age: u64) -> Vec<f64> {
+fn limits_after(settings: &Settings, legacy: &SavedState, age: u64) -> Vec<f64> {
     let mut balancer = Balancer::new(settings.clone(), 1, 0).expect("settings");
     balancer.recall_aged(&legacy.learnt, age);
     balancer.learnt().kinds.iter().map(|kind| kind.limit).collect()
@@ -85,22 +85,22 @@
     };
     assert!(altered(&|_| ()).is_ok());
     let other = altered(&|config| config["name"] = "theirs".into());
-    assert_eq!(other, Err(Foreign::Proxy("theirs".into(), "mine".into())));
+    assert_eq!(other, Err(ForeignState::Proxy("theirs".into(), "mine".into())));
     let zone = altered(&|config| config["settings"]["failureDomains"] = json!(["north"]));
-    assert_eq!(zone, Err(Foreign::Zone("north".into(), "a".into())));
+    assert_eq!(zone, Err(ForeignState::Zone("north".into(), "a".into())));
     let classes = altered(&|config| {
         let classes = config["settings"]["classes"].as_array_mut().expect("classes");
         classes.iter_mut().enumerate().for_each(|(i, class)| class["name"] = format!("c-{i}").into());
     });
-    assert_eq!(classes, Err(Foreign::Classes(vec!["c-0".into(), "c-1".into(), "c-2".into()])));
+    assert_eq!(classes, Err(ForeignState::Classes(vec!["c-0".into(), "c-1".into(), "c-2".into()])));
     // What the version before this one handed over.
     let older = r#"{"names":["s-1"],"learnt":{"kinds":[],"limits":[],"latencies":[]}}"#;
-    let older: Legacy = serde_json::from_str(older).expect("it is read");
-    assert_eq!(older.fit(&mine), Err(Foreign::Unnamed));
+    let older: SavedState = serde_json::from_str(older).expect("it is read");
+    assert_eq!(older.fit(&mine), Err(ForeignState::Unnamed));
 }
 
 /// What the proxy leaves behind at SIGTERM in this folder.
-fn left_behind(mut proxy: Proxy, folder: &Path) -> Legacy {
+fn left_behind(mut proxy: Proxy, folder: &Path) -> SavedState {
     proxy.terminate();
     assert_eq!(proxy.wait().code(), Some(0));
     state_store(folder).expect("a store").read().snapshot.expect("a snapshot").value
--- a/tests/proxy/views.rs
+++ b/tests/proxy/views.rs
@@ -4,6 +4,7 @@
 use crate::agent::{Agent, Call, config_at};
 use crate::rig::*;
 use haventrack::api::{Readiness, Senders};
+use haventrack::names::{Name, ServiceSelection};
 use haventrack::proxy::clock::Clock;
 use haventrack::proxy::config::{Config, Names};
 use haventrack::proxy::discovery::{Listed, Source, Translator, Watcher};
@@ -184,12 +185,20 @@
     }
 }
 
+fn view_config(proxy: &str, services: &[&str]) -> ViewConfig {
+    let services = services.iter().map(|&service| service.to_owned()).collect::<Vec<_>>();
+    ViewConfig {
+        proxy: Name::try_from(proxy.to_owned()).expect("a name"),
+        services: ServiceSelection::try_from(services).expect("services"),
+    }
+}
+
 fn names() -> Names {
     Names { zones: vec!["a".to_owned()], kinds: vec!["m".to_owned()], ..Names::default() }
 }
 
 fn source_at(agent: &Agent) -> Source {
-    let view = ViewConfig { proxy: "edge-17".to_owned(), services: vec!["enrolment".to_owned()] };
+    let view = view_config("edge-17", &["enrolment"]);
     Source { address: agent.address, names: names(), view: Some(view) }
 }
 
@@ -396,31 +405,37 @@
 fn a_view_that_makes_no_sense_ends_the_start_and_says_what_to_correct() {
     let long = "x".repeat(64);
     let cases = [
-        ("proxy = \"\"\nservices = [\"*\"]", "`proxy` of [view] has ``, which is no name: write 1 to 63"),
-        ("proxy = \"edge 17\"\nservices = [\"*\"]", "`proxy` of [view] has `edge 17`"),
-        ("proxy = \"edge&service=x\"\nservices = [\"*\"]", "`proxy` of [view] has `edge&service=x`"),
-        (&format!("proxy = \"{long}\"\nservices = [\"*\"]"), "which is no name"),
-        ("proxy = \"e\"\nservices = []", "name at least one service"),
-        ("proxy = \"e\"\nservices = [\"p\\u00e4y\"]", "`services` of [view] has `p\u{e4}y`"),
-        ("proxy = \"e\"\nservices = [\"pay\", \"pay\"]", "names `pay` twice: remove one of the two"),
-        ("proxy = \"e\"\nservices = [\"*\", \"pay\"]", "has `*` beside other names"),
-        ("proxy = \"e\"\nservice = [\"pay\"]", "unknown field `service`"),
-        ("services = [\"pay\"]", "missing field `proxy`"),
-        ("proxy = \"e\"\nservices = \"pay\"", "expected a sequence"),
+        ("proxy = \"\"\nservices = [\"*\"]", "proxy = \"\"", "`` is no name; write 1 to 63"),
+        ("proxy = \"edge 17\"\nservices = [\"*\"]", "line 2", "`edge 17` is no name"),
+        ("proxy = \"edge&service=x\"\nservices = [\"*\"]", "line 2", "`edge&service=x` is no name"),
+        (&format!("proxy = \"{long}\"\nservices = [\"*\"]"), "line 2", "is no name"),
+        ("proxy = \"e\"\nservices = []", "`services` of [view]", "name at least one service"),
+        ("proxy = \"e\"\nservices = [\"p\\u00e4y\"]", "line 3", "`p\u{e4}y` is no name"),
+        (
+            "proxy = \"e\"\nservices = [\"pay\", \"pay\"]",
+            "line 3",
+            "`pay` is named twice; remove one of the two",
+        ),
+        ("proxy = \"e\"\nservices = [\"*\", \"pay\"]", "line 3", "`*` is all services already; remove it or"),
+        ("proxy = \"e\"\nservice = [\"pay\"]", "line 3", "unknown field `service`"),
+        ("services = [\"pay\"]", "line 1", "missing field `proxy`"),
+        ("proxy = \"e\"\nservices = \"pay\"", "line 3", "expected a sequence"),
     ];
     let agent = Agent::start();
-    for (position, (lines, problem)) in cases.iter().enumerate() {
+    for (position, (lines, place, problem)) in cases.iter().enumerate() {
         let name = format!("view-wrong-{position}");
         let config = config_of(&name, "pushed", &agent, &no_list()).to_string();
         let mut child = launch_beside(&name, &config, &format!("[view]\n{lines}\n"));
         let mut log = String::new();
         child.stderr.take().expect("a log").read_to_string(&mut log).expect("text");
         assert!(!child.wait().expect("it ends").success(), "{lines}");
-        assert!(log.contains(problem) && log.contains(&format!("{name}.toml")), "{lines}: {log}");
+        let file = format!("{name}.toml");
+        for told in [*place, *problem, &file] {
+            assert!(log.contains(told), "{lines}: {told} in {log}");
+        }
     }
-    for services in [vec!["*"], vec!["a-Z_0.9"]] {
-        let services = services.into_iter().map(str::to_owned).collect();
-        assert_eq!(ViewConfig { proxy: "x".repeat(63), services }.check(), Ok(()));
+    for services in ["*", "a-Z_0.9"] {
+        assert_eq!(view_config(&"x".repeat(63), &[services]).check(), Ok(()));
     }
 }
 
