Read a new configuration on a thread of its own while requests go on

Need: SIGHUP had the file read and parsed on the thread that serves.

Change: a thread reads the file; what was read is compared with the configuration in force and taken on the serving thread as before, whole or not at all. A signal meanwhile has the file read once more. The end of the process does not wait for it. Rejected: the runtime's blocking pool, whose threads the end of the runtime waits for.

--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -62,6 +62,16 @@
     /// A key is missing that the configuration in force has, or that every configuration has to have.
     #[error("`{0}` is missing: add it to the file that EDGE_CONFIG names")]
     Incomplete(String),
+    /// There is no thread to read it on.
+    #[error(
+        "no thread to read the configuration on: {0}; see how many threads this user and process may have"
+    )]
+    Thread(#[source] io::Error),
+    /// The thread that read it ended before it had.
+    #[error(
+        "the configuration was not read to its end, for a fault of this program that its log shows: report it"
+    )]
+    Unfinished,
     /// The TOML file beside it is not what is wanted; the cause names the line.
     #[error("{}: {source}", path.display())]
     Beside {
@@ -270,13 +280,12 @@
         self
     }
 
-    /// Reads the file again, to take the place of this configuration. A file that lacks what this one has is not
-    /// whole, though what is there may make sense.
+    /// Another configuration that is to take the place of this one. One that lacks what this one has is not whole,
+    /// though what is there may make sense.
     ///
     /// # Errors
-    /// Says what is missing or wrong.
-    pub fn again_from_env(&self) -> Result<Self, ConfigError> {
-        let next = Self::from_env()?;
+    /// Says what is missing.
+    pub fn succeeded_by(&self, next: Self) -> Result<Self, ConfigError> {
         match self.keys.missing_in(&next.keys) {
             None => Ok(next),
             Some(key) => Err(ConfigError::Incomplete(key)),
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -13,6 +13,7 @@
 pub mod handover;
 pub mod pace;
 pub mod program;
+mod reload;
 mod shape;
 pub mod socket;
 pub mod tenants;
--- a/src/proxy/program.rs
+++ b/src/proxy/program.rs
@@ -7,11 +7,12 @@
 use crate::proxy::bodies::Transfers;
 use crate::proxy::clients::Clients;
 use crate::proxy::clock::Clock;
-use crate::proxy::config::Config;
+use crate::proxy::config::{Config, ConfigError};
 use crate::proxy::discovery::{Numbers, Source, Translator, Watcher};
 use crate::proxy::drain::Drain;
 use crate::proxy::driver::{Driver, Handle, Limits, Message};
 use crate::proxy::handover::{self, Bans, Held, Owner, Predecessor, Siblings, StateKeeper, StateSource};
+use crate::proxy::reload::Reload;
 use crate::proxy::{Spare, log};
 use std::cell::{Cell, RefCell};
 use std::env;
@@ -83,10 +84,10 @@
 }
 
 impl Settled {
-    /// Reads the configuration again. Either all of it is taken or none: what is not whole or makes no sense changes
-    /// nothing, and the proxy goes on with what it has.
-    async fn reload(&mut self) -> Result<(), Box<dyn Error>> {
-        let config = self.config.again_from_env()?;
+    /// Takes a configuration that was read again. Either all of it is taken or none: what is not whole or makes no
+    /// sense changes nothing, and the proxy goes on with what it has.
+    async fn take(&mut self, read: Result<Config, ConfigError>) -> Result<(), Box<dyn Error>> {
+        let config = self.config.succeeded_by(read?)?;
         let (numbers, told) = oneshot::channel();
         self.handle.tell(Message::Settings(Box::new(config.settings.clone()), numbers));
         let numbers = told.await?;
@@ -211,10 +212,15 @@
         tokio::task::spawn_local(Rc::clone(&siblings).serve());
     }
     let mut settled = Settled { clients: Rc::clone(&clients), fleet, handle, discovery, owner, config };
+    let mut reload = Reload::default();
     loop {
         tokio::select! {
             ended = &mut driver => return Err(format!("the driver ended: {ended:?}").into()),
-            Some(()) = signals.reload.recv() => if let Err(error) = settled.reload().await {
+            // A signal that comes while a file is being read has it read once more: it may have been replaced since.
+            Some(()) = signals.reload.recv(), if !reload.is_running() => if let Err(error) = reload.begin() {
+                log(format_args!("SIGHUP changes nothing: {error}"));
+            },
+            read = reload.finished() => if let Err(error) = settled.take(read).await {
                 log(format_args!("SIGHUP changes nothing: {error}"));
             },
             _ = signals.stop.recv() => {
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -6,6 +6,7 @@
 mod gone;
 mod instants;
 mod queued_calls;
+mod reload;
 mod repeats;
 mod restart;
 mod rig;
