--- a/benches/capacity/network.rs
+++ b/benches/capacity/network.rs
@@ -204,6 +204,21 @@
     list.and_then(|list| list["revision"].as_u64()).ok_or(NetworkError::NoRevision)
 }
 
+/// How long the slowest of the answers took that a proxy gave within this time, one asked for after the other.
+///
+/// # Errors
+/// Where it does not answer.
+pub fn slowest_answer(proxy: SocketAddr, within: Duration) -> Result<Duration, NetworkError> {
+    let since = Instant::now();
+    let mut slowest = Duration::ZERO;
+    while since.elapsed() < within {
+        let asked = Instant::now();
+        get(proxy, "/up")?;
+        slowest = slowest.max(asked.elapsed());
+    }
+    Ok(slowest)
+}
+
 /// One call on a connection of its own; the answer as it came.
 fn get(address: SocketAddr, path: &str) -> io::Result<String> {
     let mut stream = std::net::TcpStream::connect(address)?;
--- a/benches/capacity/process.rs
+++ b/benches/capacity/process.rs
@@ -121,6 +121,14 @@
         usage::resident_mb(self.child.id()).map_err(|source| self.unknown(source))
     }
 
+    /// The most memory that it was resident with so far, in megabytes of 2^20 bytes.
+    ///
+    /// # Errors
+    /// Where the system does not say it.
+    pub fn peak_resident_mb(&self) -> Result<f64, ProcessError> {
+        usage::peak_resident_mb(self.child.id()).map_err(|source| self.unknown(source))
+    }
+
     /// The processor time that its threads have used so far, in user and system mode.
     ///
     /// # Errors
--- a/benches/capacity/proxy.rs
+++ b/benches/capacity/proxy.rs
@@ -18,10 +18,13 @@
 /// Measurements at each size.
 const REPEATS: u32 = 3;
 /// Backends, classes and tenants where another of them grows.
-const FEW: ProxySetup = ProxySetup { backends: 200, classes: 1, tenants: 0, seed: SEED, view: false };
+const FEW: ProxySetup =
+    ProxySetup { backends: 200, classes: 1, tenants: 0, allowance: 100.0, seed: SEED, view: false };
 const BACKENDS: [u64; 4] = [200, 2_000, 8_000, 20_000];
 const TENANTS: [u64; 5] = [300, 3_000, 30_000, 100_000, 300_000];
-const CLASSES: [u64; 4] = [10, 100, 400, 1_600];
+const CLASSES: [u64; 5] = [10, 400, 1_600, 10_000, 44_000];
+/// What a tenant may ask for, in requests a second, where all ask for more.
+const SMALL_ALLOWANCE: f64 = 0.001;
 /// Changes to the list a second.
 const CHANGES: [u64; 4] = [1, 2, 5, 10];
 /// Backends in the list that changes.
@@ -36,6 +39,8 @@
 const SETTLE: Duration = Duration::from_millis(500);
 /// How long a proxy's processor time without requests is measured.
 const IDLE: Duration = Duration::from_secs(1);
+/// For how long answers are timed from a signal on that has the configuration read again.
+const RELOADING: Duration = Duration::from_secs(3);
 /// Clients' connections.
 const CONNECTIONS: u64 = 4;
 /// Requests before those that count.
@@ -50,6 +55,8 @@
     Backends,
     /// Tenants of the settings.
     Tenants,
+    /// Tenants of the settings, each of which asks for more than its share.
+    TenantsOverShare,
     /// Classes of the settings.
     Classes,
     /// Changes to the list a second.
@@ -60,7 +67,9 @@
     /// The series of this version. Neither tenants nor classes have to do with the list.
     fn all(version: Version) -> &'static [Self] {
         match version {
-            Version::WholeList => &[Self::Backends, Self::Tenants, Self::Classes, Self::Changes],
+            Version::WholeList => {
+                &[Self::Backends, Self::Tenants, Self::TenantsOverShare, Self::Classes, Self::Changes]
+            }
             Version::View => &[Self::Backends, Self::Changes],
         }
     }
@@ -69,6 +78,8 @@
 const START: Metric = Metric { name: "start", unit: "ms" };
 const MEMORY: Metric = Metric { name: "memory", unit: "MB" };
 const LOADED_MEMORY: Metric = Metric { name: "memory-after-requests", unit: "MB" };
+const PEAK_MEMORY: Metric = Metric { name: "peak-memory", unit: "MB" };
+const RELOAD_DELAY: Metric = Metric { name: "reload-delay", unit: "ms" };
 const REQUEST_TIME: Metric = Metric { name: "processor-time", unit: "µs a request" };
 const IDLE_TIME: Metric = Metric { name: "idle-processor-time", unit: "ms a second" };
 const BYTES: Metric = Metric { name: "bytes", unit: "KB a second" };
@@ -132,6 +143,9 @@
                 bench.serving("backends", &BACKENDS, |backends| ProxySetup { backends, ..FEW })
             }
             Growing::Tenants => bench.serving("tenants", &TENANTS, |tenants| ProxySetup { tenants, ..FEW }),
+            Growing::TenantsOverShare => bench.serving("tenants-over-share", &TENANTS, |tenants| {
+                ProxySetup { tenants, allowance: SMALL_ALLOWANCE, ..FEW }
+            }),
             Growing::Classes => bench.serving("classes", &CLASSES, |classes| ProxySetup { classes, ..FEW }),
             Growing::Changes => bench.changing(),
         }?;
@@ -174,6 +188,8 @@
                 recorder.add(LOADED_MEMORY, size, repeat, served.loaded_memory_mb)?;
                 recorder.add(IDLE_TIME, size, repeat, served.idle_ms)?;
                 recorder.add(REQUEST_TIME, size, repeat, served.request_us)?;
+                recorder.add(RELOAD_DELAY, size, repeat, served.reload_ms)?;
+                recorder.add(PEAK_MEMORY, size, repeat, served.peak_memory_mb)?;
             }
         }
         Ok(recorder.write(&self.samples)?)
@@ -198,7 +214,11 @@
         network::load(proxy.address, Mix { seed: !mix.seed, ..mix }, CONNECTIONS, REQUESTS)?;
         let used = proxy.processor_time()?.saturating_sub(before);
         let request_us = used.as_secs_f64() * 1e6 / REQUESTS as f64;
-        Ok(Served { start_ms, memory_mb, idle_ms, loaded_memory_mb: proxy.resident_mb()?, request_us })
+        let loaded_memory_mb = proxy.resident_mb()?;
+        proxy.hang_up()?;
+        let reload_ms = network::slowest_answer(proxy.address, RELOADING)?.as_secs_f64() * 1e3;
+        let peak_memory_mb = proxy.peak_resident_mb()?;
+        Ok(Served { start_ms, memory_mb, idle_ms, loaded_memory_mb, request_us, reload_ms, peak_memory_mb })
     }
 
     /// The series of idle proxies whose list changes.
@@ -296,6 +316,10 @@
     loaded_memory_mb: f64,
     /// Processor time of a request.
     request_us: f64,
+    /// The slowest answer while the configuration was read again.
+    reload_ms: f64,
+    /// The most memory that was resident up to then.
+    peak_memory_mb: f64,
 }
 
 /// What an idle proxy costs each second.
--- a/benches/capacity/setup.rs
+++ b/benches/capacity/setup.rs
@@ -145,6 +145,8 @@
     pub classes: u64,
     /// Tenants, `tenant-0` onwards.
     pub tenants: u64,
+    /// What each of them may ask for, in requests a second over all proxies.
+    pub allowance: f64,
     /// For what it draws.
     pub seed: u64,
     /// Whether it asks for its view.
@@ -193,7 +195,7 @@
             json!({"name": format!("class-{number}"), "aimUs": 1_000_000, "deadlineUs": 5_000_000, "worth": 1.0,
                    "lateWorth": 0.5, "effect": "retryable"})
         };
-        let tenant = |number| json!({"name": format!("tenant-{number}"), "allowancePerS": 100.0});
+        let tenant = |number| json!({"name": format!("tenant-{number}"), "allowancePerS": self.allowance});
         json!({"me": 0, "balancers": proxies(self.backends), "zone": 0, "failureDomains": [ZONE],
             "kinds": [KIND], "membershipMode": "pushed",
             "classes": (0..self.classes).map(class).collect::<Vec<_>>(),
--- a/benches/capacity/usage.rs
+++ b/benches/capacity/usage.rs
@@ -86,6 +86,14 @@
     Ok(resident_kib(pid)? / KIBIBYTE)
 }
 
+/// The most memory that a process was resident with, in megabytes of 2^20 bytes.
+///
+/// # Errors
+/// When it is gone, or the kernel does not say.
+pub fn peak_resident_mb(pid: u32) -> Result<f64, UsageError> {
+    Ok(field(&process_folder(pid).join("status"), "VmHWM:")? / KIBIBYTE)
+}
+
 /// The processor time of all threads of a process, as [`thread_times`] gives it.
 ///
 /// # Errors
