--- a/tests/proxy/queued_calls.rs
+++ b/tests/proxy/queued_calls.rs
@@ -28,11 +28,13 @@
     (proxy, call)
 }
 
-/// The watch goes on where the answer came, and the list is in force.
-fn goes_on(proxy: &Proxy, agent: &Agent, connection: usize, revision: u64) {
+/// Answers a call with a list: the watch goes on where the answer came, and the list is in force.
+fn answer_and_go_on(proxy: &Proxy, agent: &Agent, call: Call, list: &Value) {
+    let connection = call.connection;
+    call.answer(list);
     let watch = agent.next();
     assert_eq!(watch.connection, connection);
-    assert_eq!(watch.after, Some(revision));
+    assert_eq!(watch.after, list["revision"].as_u64());
     assert_eq!(proxy.client().ask(&request("read", "1", "")).status(), 200);
 }
 
@@ -46,9 +48,7 @@
 fn an_answer_after_a_calls_time_counts_before_the_next_call() {
     let (agent, backend) = (Agent::start(), Backend::start(|_| ok("served")));
     let (proxy, call) = first_call_out_of_time("queued-before", &agent);
-    let connection = call.connection;
-    call.answer(&list_of(&backend, 7));
-    goes_on(&proxy, &agent, connection, 7);
+    answer_and_go_on(&proxy, &agent, call, &list_of(&backend, 7));
 }
 
 #[test]
@@ -56,10 +56,8 @@
     let (agent, backend) = (Agent::start(), Backend::start(|_| ok("served")));
     let (proxy, first) = first_call_out_of_time("queued-first", &agent);
     let second = agent.next();
-    let connection = first.connection;
-    assert_ne!(second.connection, connection);
-    first.answer(&list_of(&backend, 7));
-    goes_on(&proxy, &agent, connection, 7);
+    assert_ne!(second.connection, first.connection);
+    answer_and_go_on(&proxy, &agent, first, &list_of(&backend, 7));
     assert!(is_closed(second));
 }
 
@@ -68,9 +66,7 @@
     let (agent, backend) = (Agent::start(), Backend::start(|_| ok("served")));
     let (proxy, first) = first_call_out_of_time("queued-second", &agent);
     let second = agent.next();
-    let connection = second.connection;
-    second.answer(&list_of(&backend, 7));
-    goes_on(&proxy, &agent, connection, 7);
+    answer_and_go_on(&proxy, &agent, second, &list_of(&backend, 7));
     assert!(is_closed(first));
 }
 
@@ -80,9 +76,7 @@
     let (proxy, mut first) = first_call_out_of_time("queued-fails", &agent);
     first.write(&answer("503 Service Unavailable", "", b""));
     let second = agent.next();
-    let connection = second.connection;
-    second.answer(&list_of(&backend, 7));
-    goes_on(&proxy, &agent, connection, 7);
+    answer_and_go_on(&proxy, &agent, second, &list_of(&backend, 7));
 }
 
 #[test]
@@ -104,9 +98,7 @@
     proxy.hang_up();
     assert!(is_closed(call));
     let moved = new.next();
-    let connection = moved.connection;
-    moved.answer(&list_of(&backend, 3));
-    goes_on(&proxy, &new, connection, 3);
+    answer_and_go_on(&proxy, &new, moved, &list_of(&backend, 3));
 }
 
 /// Proxies that start together.
--- a/tests/proxy/reload.rs
+++ b/tests/proxy/reload.rs
@@ -7,11 +7,6 @@
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::Command;
-use std::thread::sleep;
-use std::time::{Duration, Instant};
-
-/// How often it is looked whether a process has ended.
-const POLL: Duration = Duration::from_millis(10);
 
 /// A proxy, its configuration and the file that it reads it from, replaced by a pipe: to read it takes until the test
 /// has written it.
@@ -101,13 +96,5 @@
     let mut slow = SlowFile::start("reload-ends");
     let _pipe = slow.begin();
     slow.proxy.terminate();
-    let since = Instant::now();
-    let ended = loop {
-        if let Some(status) = slow.proxy.child.try_wait().expect("its state") {
-            break status;
-        }
-        assert!(since.elapsed() < PATIENCE, "it waits for the file");
-        sleep(POLL);
-    };
-    assert!(ended.success());
+    assert!(slow.proxy.wait().success());
 }
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -9,11 +9,13 @@
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use std::{env, fs, thread};
 
 /// Ends a test that waits for what never comes.
 pub const PATIENCE: Duration = Duration::from_secs(20);
+/// How often it is looked whether a process has ended.
+const POLL: Duration = Duration::from_millis(10);
 
 /// A message as it came: its head and its body.
 #[derive(Clone, Debug)]
@@ -436,8 +438,16 @@
         assert!(done.expect("kill runs").success());
     }
 
+    /// Its end, which comes within the patience of a test.
     pub fn wait(&mut self) -> ExitStatus {
-        self.child.wait().expect("the proxy ends")
+        let since = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("its state") {
+                return status;
+            }
+            assert!(since.elapsed() < PATIENCE, "the proxy does not end");
+            thread::sleep(POLL);
+        }
     }
 }
 
