Take classes by reference as new settings come, and leave latencies where the kinds stay

Read again: new settings copied the name of each class twice and rebuilt all latencies although kinds seldom change, on the thread that serves; three methods of Latencies wrote the same two lines; both ways of the harness' relay were written out; a comment named a file that is a folder now.

Change: classes are referred to while they are compared and only new ones are copied; extend_kinds returns where no kind came; push_on and pass_on serve what stood several times. Decisions stay as they were.

Measured: module, rules, cold, wire, host and tests/proxy (143) green. What it saves around a reload was not measured.

--- a/benches/capacity/network.rs
+++ b/benches/capacity/network.rs
@@ -18,6 +18,7 @@
 use std::time::{Duration, Instant};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 
 /// The most bytes that the relay reads at once.
@@ -148,36 +149,36 @@
     let target = TcpStream::connect(target).await?;
     dialler.set_nodelay(true)?;
     target.set_nodelay(true)?;
-    let ((mut from_dialler, mut to_dialler), (mut from_target, mut to_target)) =
-        (dialler.into_split(), target.into_split());
-    let forward = async {
-        let mut chunk = vec![0; CHUNK];
-        loop {
-            let length = from_dialler.read(&mut chunk).await?;
-            if length == 0 {
-                return to_target.shutdown().await;
-            }
-            // A call is short: its head comes in one piece, and no call is sent before the last one's answer.
-            counts.calls.fetch_add(u64::from(chunk.starts_with(b"GET ")), Ordering::Relaxed);
-            counts.bytes.fetch_add(length as u64, Ordering::Relaxed);
-            to_target.write_all(&chunk[..length]).await?;
-        }
-    };
-    let backward = async {
-        let mut chunk = vec![0; CHUNK];
-        loop {
-            let length = from_target.read(&mut chunk).await?;
-            if length == 0 {
-                return to_dialler.shutdown().await;
-            }
-            counts.bytes.fetch_add(length as u64, Ordering::Relaxed);
-            to_dialler.write_all(&chunk[..length]).await?;
-        }
+    let ((from_dialler, to_dialler), (from_target, to_target)) = (dialler.into_split(), target.into_split());
+    let count_calls = |chunk: &[u8]| {
+        // A call is short: its head comes in one piece, and no call is sent before the last one's answer.
+        counts.calls.fetch_add(u64::from(chunk.starts_with(b"GET ")), Ordering::Relaxed);
     };
+    let forward = pass_on(from_dialler, to_target, &counts.bytes, count_calls);
+    let backward = pass_on(from_target, to_dialler, &counts.bytes, |_| {});
     tokio::try_join!(forward, backward)?;
     Ok(())
 }
 
+/// Passes on what comes until its end, counts its bytes, and shows each chunk to `seen`.
+async fn pass_on(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    bytes: &AtomicU64,
+    seen: impl Fn(&[u8]),
+) -> io::Result<()> {
+    let mut chunk = vec![0; CHUNK];
+    loop {
+        let length = from.read(&mut chunk).await?;
+        if length == 0 {
+            return to.shutdown().await;
+        }
+        seen(&chunk[..length]);
+        bytes.fetch_add(length as u64, Ordering::Relaxed);
+        to.write_all(&chunk[..length]).await?;
+    }
+}
+
 /// Waits until the proxy answers `GET /up` with 200: it holds a list.
 ///
 /// # Errors
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -78,7 +78,7 @@
 const CHANCE_SLOTS: f64 = 16.0;
 const CHANCE_WAIT: f64 = 0.125;
 /// Whatever became of the calls, a change counts as told this long after discovery had it and could be
-/// reached. All waits for discovery are parts of it, those of `src/proxy/discovery.rs` too.
+/// reached. All waits for discovery are parts of it, those of `src/proxy/discovery/` too.
 pub const TOLD: Micros = 6 * SECOND;
 /// How long an answer may take where all proxies ask.
 const ANSWER: Micros = TOLD / 5;
@@ -338,16 +338,17 @@
         let mut common = self.kinds[0].clone();
         (common.limit, common.growing, common.ready) = (INITIAL_LIMIT, true, 0.0);
         self.kinds.resize(usize::from(settings.kinds).max(1), common);
-        let mut classes = std::mem::take(&mut self.settings.classes);
+        let mut old = std::mem::take(&mut self.settings.classes);
         self.latencies.extend_kinds(self.kinds.len());
-        let mut namesakes: FxHashMap<String, Vec<usize>> = FxHashMap::default();
+        let mut classes: Vec<&Class> = old.iter().collect();
+        let mut namesakes: FxHashMap<&str, Vec<usize>> = FxHashMap::default();
         for (number, class) in classes.iter().enumerate() {
-            namesakes.entry(class.name.clone()).or_default().push(number);
+            namesakes.entry(&class.name).or_default().push(number);
         }
         self.in_use.clear();
         for class in &new.classes {
-            let namesakes = namesakes.entry(class.name.clone()).or_default();
-            let known = namesakes.iter().copied().find(|&number| classes[number] == *class);
+            let namesakes = namesakes.entry(&class.name).or_default();
+            let known = namesakes.iter().copied().find(|&number| classes[number] == class);
             let number = known.unwrap_or(classes.len());
             if known.is_none() {
                 match namesakes.last() {
@@ -355,11 +356,13 @@
                     None => self.latencies.push(Latency::expected(class)),
                 }
                 namesakes.push(number);
-                classes.push(class.clone());
+                classes.push(class);
             }
             self.in_use.push(number as ClassNumber);
         }
-        settings.classes = classes;
+        let added: Vec<Class> = classes[old.len()..].iter().map(|&class| class.clone()).collect();
+        old.extend(added);
+        settings.classes = old;
         let fleet = self.fleet.unwrap_or(settings.balancers).max(1);
         self.tenants.settle(&settings.tenants, |tenant| Bucket::new(now, tenant, fleet));
         self.settings = settings;
--- a/src/state.rs
+++ b/src/state.rs
@@ -179,30 +179,28 @@
 
     /// Adds a class whose latency is the same on each kind.
     pub(crate) fn push(&mut self, latency: Latency) {
-        for sum in &mut self.sums {
-            add(sum, latency, 1.0);
-            self.latencies.push(latency);
-        }
+        (0..self.kinds).for_each(|kind| self.push_on(kind, latency));
     }
 
     /// Adds a class with the latencies of another one.
     pub(crate) fn push_copy(&mut self, class: usize) {
-        for kind in 0..self.kinds {
-            let latency = self.latencies[class * self.kinds + kind];
-            add(&mut self.sums[kind], latency, 1.0);
-            self.latencies.push(latency);
-        }
+        (0..self.kinds).for_each(|kind| self.push_on(kind, self.of(class)[kind]));
+    }
+
+    /// Adds the latency of the class that comes last, on the next kind.
+    fn push_on(&mut self, kind: usize, latency: Latency) {
+        add(&mut self.sums[kind], latency, 1.0);
+        self.latencies.push(latency);
     }
 
     /// Takes more kinds, on which each class has the latency of the last kind there was.
     pub(crate) fn extend_kinds(&mut self, kinds: usize) {
+        if kinds == self.kinds {
+            return;
+        }
         let old = std::mem::replace(self, Self::of_kinds(kinds));
         for class in old.latencies.chunks(old.kinds) {
-            for kind in 0..kinds {
-                let latency = class[kind.min(old.kinds - 1)];
-                add(&mut self.sums[kind], latency, 1.0);
-                self.latencies.push(latency);
-            }
+            (0..kinds).for_each(|kind| self.push_on(kind, class[kind.min(old.kinds - 1)]));
         }
     }
 
