--- a/review/2/main.rs
+++ b/review/2/main.rs
@@ -56,7 +56,10 @@
                 let id = format!("honest-{n}");
                 let sent = stream.write_all((head("salva-domanda", &id, "", 1_500, 4) + "step").as_bytes());
                 match answer(&stream, Instant::now() + Duration::from_secs(8)) {
-                    Came::Whole(..) if sent.is_ok() => _ = served.fetch_add(1, Ordering::SeqCst),
+                    Came::Whole(status, _) if sent.is_ok() => {
+                        say(&format!("client: {id} answered {status}"));
+                        served.fetch_add(1, Ordering::SeqCst);
+                    }
                     other => {
                         say(&format!("client: {id} got no answer: {other:?}"));
                         cut.fetch_add(1, Ordering::SeqCst);
--- a/review/3/main.rs
+++ b/review/3/main.rs
@@ -12,10 +12,12 @@
 /// The least that a proxy is given (TERMS).
 const MEMORY_MB: u32 = 32;
 const SOCKETS: u32 = 256;
-/// Clients with a large body at 64 kB a second: with the others under a third of the descriptors.
+/// Clients with a large body, at no less than 64 kB a second: with the others under a third of the descriptors.
 const SLOW: usize = 66;
 const LARGE: usize = 32_000_000;
-const RATE: usize = 64_000;
+/// Their pace in bytes a second, a little over the least.
+const RATE: f64 = 70_000.0;
+const LEAST_RATE: f64 = 64_000.0;
 const PROBES: usize = 4;
 const BODY: usize = 100_000;
 const TIME_LEFT_MS: u32 = 1_500;
@@ -39,36 +41,49 @@
 
     let (stop, refused) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
     let slow = if trouble() { SLOW } else { 0 };
+    // Each gives how much of its body it wrote and how fast.
     let clients: Vec<_> = (0..slow)
         .map(|i| {
             let (stop, refused) = (Arc::clone(&stop), Arc::clone(&refused));
             thread::spawn(move || {
                 // One comes after the other, over a second or two; one that is refused comes again.
                 thread::sleep(Duration::from_millis(20 * i as u64));
-                let mut tries = 0;
-                'again: while !stop.load(Ordering::SeqCst) && tries < 4 {
-                    tries += 1;
+                for tries in 1..=4 {
                     let mut stream = connect(listen);
-                    let text = head("salva-domanda", &format!("slow-{i}-{tries}"), "", TIME_LEFT_MS, LARGE);
-                    stream.write_all(text.as_bytes()).expect("the head");
-                    while !stop.load(Ordering::SeqCst) {
-                        if stream.write_all(&vec![b's'; RATE / 10]).is_err() {
-                            continue 'again;
+                    let _ = stream.set_write_timeout(Some(Duration::from_secs(2)));
+                    let id = format!("slow-{i}-{tries}");
+                    stream.write_all(head("salva-domanda", &id, "", TIME_LEFT_MS, LARGE).as_bytes()).expect("the head");
+                    let (began, mut written) = (Instant::now(), 0);
+                    let answered = loop {
+                        if stop.load(Ordering::SeqCst) {
+                            break false;
                         }
+                        let due = (RATE * (began.elapsed().as_secs_f64() + 0.1)) as usize;
+                        let piece = due.min(LARGE).saturating_sub(written);
+                        if stream.write_all(&vec![b's'; piece]).is_err() {
+                            break true;
+                        }
+                        written += piece;
                         thread::sleep(Duration::from_millis(100));
                         let _ = stream.set_nonblocking(true);
                         let answered = stream.peek(&mut [0]).is_ok();
                         let _ = stream.set_nonblocking(false);
                         if answered {
-                            let came = answer(&stream, Instant::now() + Duration::from_secs(1));
-                            let status = match came { Came::Whole(s, _) | Came::Closed(s, _) | Came::Nothing(s, _) => s };
-                            say(&format!("slow client {i}: try {tries} answered {status} before its body is through"));
-                            refused.fetch_add(1, Ordering::SeqCst);
-                            thread::sleep(Duration::from_millis(750));
-                            continue 'again;
+                            break true;
                         }
+                    };
+                    let rate = written as f64 / began.elapsed().as_secs_f64();
+                    say(&format!("slow client: {id}: {written} of {LARGE} bytes written, {rate:.0} a second"));
+                    if !answered {
+                        return rate;
                     }
+                    let came = answer(&stream, Instant::now() + Duration::from_secs(1));
+                    let (Came::Whole(status, _) | Came::Closed(status, _) | Came::Nothing(status, _)) = came;
+                    say(&format!("slow client: {id} answered {status} before its body is through"));
+                    refused.fetch_add(1, Ordering::SeqCst);
+                    thread::sleep(Duration::from_millis(750));
                 }
+                f64::INFINITY
             })
         })
         .collect();
@@ -106,7 +121,10 @@
         .collect();
     let came: Vec<_> = probes.into_iter().map(|p| p.join().expect("a probe")).collect();
     stop.store(true, Ordering::SeqCst);
-    clients.into_iter().for_each(|c| _ = c.join());
+    let slowest = clients.into_iter().map(|c| c.join().expect("a slow client")).fold(f64::INFINITY, f64::min);
+    if slowest < LEAST_RATE {
+        end(COULD_NOT_RUN, &format!("a client was slower than the pages allow: {slowest:.0} bytes a second"));
+    }
     if proxy.has_ended() {
         proxy.say_log();
         end(COULD_NOT_RUN, "the proxy ended");
--- a/review/stand_in.rs
+++ b/review/stand_in.rs
@@ -7,6 +7,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio, exit};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -17,6 +18,8 @@
 unsafe extern "C" {
     fn ioctl(fd: i32, request: u64, ...) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
+    fn waitpid(pid: i32, status: *mut i32, options: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 pub const SIGHUP: i32 = 1;
@@ -94,7 +97,10 @@
     }
     for &pid in run().children.lock().unwrap_or_else(|e| e.into_inner()).iter() {
         // SAFETY: the process is this one's child and was not waited for.
-        unsafe { kill(pid, SIGKILL) };
+        unsafe {
+            kill(pid, SIGKILL);
+            waitpid(pid, std::ptr::null_mut(), 0);
+        }
     }
     let verdict = match code {
         HELD => "the rule held",
@@ -136,11 +142,13 @@
         command.args(["-c", line]).stdin(Stdio::null());
         command.stdout(out.try_clone().expect("a log")).stderr(out);
         environment.iter().for_each(|(name, value)| _ = command.env(name, value));
-        let mut children = run().children.lock().unwrap_or_else(|e| e.into_inner());
-        assert!(children.len() < MOST_PROCESSES, "too many processes");
+        let running = run().children.lock().unwrap_or_else(|e| e.into_inner()).len();
+        assert!(running < MOST_PROCESSES, "too many processes");
+        // It ends with the case, however that ends (PR_SET_PDEATHSIG). Cases start processes from their main thread.
+        // SAFETY: prctl is a system call and nothing else.
+        unsafe { command.pre_exec(|| Ok(_ = prctl(1, SIGKILL as usize))) };
         let child = command.spawn().expect("the process starts");
-        children.push(child.id() as i32);
-        drop(children);
+        run().children.lock().unwrap_or_else(|e| e.into_inner()).push(child.id() as i32);
         say(&format!("{name}: started as process {}: {line}", child.id()));
         Self { child, name: name.to_owned(), log }
     }
@@ -163,7 +171,13 @@
     }
 
     pub fn has_ended(&mut self) -> bool {
-        self.child.try_wait().is_ok_and(|ended| ended.is_some())
+        let ended = self.child.try_wait().is_ok_and(|ended| ended.is_some());
+        if ended {
+            // Its number may be another process's from now on.
+            let pid = self.child.id() as i32;
+            run().children.lock().unwrap_or_else(|e| e.into_inner()).retain(|&child| child != pid);
+        }
+        ended
     }
 
     /// Waits for its end; false where it does not come in time.
@@ -175,8 +189,6 @@
             }
             thread::sleep(Duration::from_millis(5));
         }
-        let pid = self.child.id() as i32;
-        run().children.lock().unwrap_or_else(|e| e.into_inner()).retain(|&child| child != pid);
         say(&format!("{}: ended", self.name));
         true
     }
