Split the bodies of requests and answers into modules

Change: one module each for a client's body, an upload, a download, the beginning of an answer, and the permits. Code is moved, not changed.

--- /dev/null
+++ b/src/proxy/bodies/answer.rs
@@ -0,0 +1,48 @@
+//! The beginning of a backend's answer: held whole, or found too large for that.
+
+use super::join;
+use crate::proxy::BODY_CAP;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use std::time::Duration;
+use tokio::time::{Instant, sleep_until};
+
+/// What has come of a backend's answer when it is passed on.
+pub enum Begun {
+    /// All of it.
+    Whole(Bytes),
+    /// The beginning of one that has to pass through, and the rest.
+    Large(Vec<Bytes>, Incoming),
+}
+
+/// Reads an answer's body up to [`BODY_CAP`]. One of unknown length that takes longer than `patience` passes
+/// through as well, for it may be a large one that comes slowly.
+///
+/// # Errors
+/// Where the body breaks off.
+pub async fn begin(mut body: Incoming, patience: Duration) -> Result<Begun, hyper::Error> {
+    let (mut parts, mut size) = (Vec::new(), 0);
+    let length = body.size_hint().exact();
+    if length.is_some_and(|length| length > BODY_CAP as u64) {
+        return Ok(Begun::Large(parts, body));
+    }
+    let until = Instant::now() + patience;
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = sleep_until(until), if length.is_none() && size > 0 => {
+                return Ok(Begun::Large(parts, body));
+            }
+        };
+        let Some(frame) = frame else { return Ok(Begun::Whole(join(parts))) };
+        if let Ok(data) = frame?.into_data() {
+            size += data.len();
+            parts.push(data);
+        }
+        if size > BODY_CAP {
+            return Ok(Begun::Large(parts, body));
+        }
+    }
+}
--- /dev/null
+++ b/src/proxy/bodies/client.rs
@@ -0,0 +1,128 @@
+//! A client's request body: how long it may be waited for, and how much of it is held.
+
+use super::{PASSED_CAP, join};
+use crate::proxy::BODY_CAP;
+use bytes::Bytes;
+use hyper::StatusCode;
+use hyper::body::{Body, Incoming};
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::time::{Instant, Sleep, sleep_until};
+
+/// A peer's time for its body: it shrinks while nothing comes and grows with each byte at a rate that every peer
+/// has to keep, up to a limit.
+const LEAST_RATE: f64 = 32_000.0;
+const MOST_PAUSE: Duration = Duration::from_millis(2_500);
+
+/// Why a client's body did not come whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Too slow.
+    Late,
+    /// Too large.
+    TooLarge,
+    /// Cut off, or not as the protocol has it.
+    Broken,
+}
+
+impl Fault {
+    /// What the client is told.
+    #[must_use]
+    pub fn status(self) -> (StatusCode, &'static str) {
+        match self {
+            Self::Late => (StatusCode::REQUEST_TIMEOUT, "the body is late\n"),
+            Self::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"),
+            Self::Broken => (StatusCode::BAD_REQUEST, "the body is broken\n"),
+        }
+    }
+}
+
+/// A client's body, with a bound on how long it may be waited for. Only the time in which this side wants more
+/// counts: a backend that takes the body slowly does not make the client late.
+pub struct Paced {
+    body: Incoming,
+    left: Duration,
+    waiting_since: Option<Instant>,
+    sleep: Pin<Box<Sleep>>,
+    pub(super) received: u64,
+}
+
+impl Paced {
+    /// A body whose first bytes may take this long.
+    #[must_use]
+    pub fn new(body: Incoming, left: Duration) -> Self {
+        let sleep = Box::pin(sleep_until(Instant::now() + left));
+        Self { body, left, waiting_since: None, sleep, received: 0 }
+    }
+
+    /// Its length, where the head tells it.
+    #[must_use]
+    pub fn length(&self) -> Option<u64> {
+        self.body.size_hint().exact().map(|left| left + self.received)
+    }
+
+    pub(super) fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Fault>>> {
+        loop {
+            let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) else {
+                let since = *self.waiting_since.get_or_insert_with(Instant::now);
+                let until = since + self.left;
+                if self.sleep.deadline() != until {
+                    self.sleep.as_mut().reset(until);
+                }
+                return self.sleep.as_mut().poll(cx).map(|()| Some(Err(Fault::Late)));
+            };
+            if let Some(since) = self.waiting_since.take() {
+                self.left = self.left.saturating_sub(since.elapsed());
+            }
+            let data = match frame {
+                None => return Poll::Ready(None),
+                Some(Err(_)) => return Poll::Ready(Some(Err(Fault::Broken))),
+                // Trailers speak to the next hop alone.
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => data,
+                    Err(_) => continue,
+                },
+            };
+            self.received += data.len() as u64;
+            let earned = Duration::from_secs_f64(data.len() as f64 / LEAST_RATE);
+            self.left = (self.left + earned).min(MOST_PAUSE.max(self.left));
+            if self.received > PASSED_CAP {
+                return Poll::Ready(Some(Err(Fault::TooLarge)));
+            }
+            return Poll::Ready(Some(Ok(data)));
+        }
+    }
+
+    /// Reads up to [`BODY_CAP`]: the whole body, or the beginning of one that has to pass through.
+    ///
+    /// # Errors
+    /// Where it does not come as it should.
+    pub async fn read(mut self) -> Result<Read, Fault> {
+        if self.length().is_some_and(|length| length > PASSED_CAP) {
+            return Err(Fault::TooLarge);
+        }
+        let (mut parts, mut size) = (Vec::new(), 0);
+        if self.length().is_none_or(|length| length <= BODY_CAP as u64) {
+            while let Some(data) = std::future::poll_fn(|cx| self.poll_data(cx)).await {
+                let data = data?;
+                size += data.len();
+                parts.push(data);
+                if size > BODY_CAP {
+                    return Ok(Read::Large(parts, self));
+                }
+            }
+            return Ok(Read::Whole(join(parts)));
+        }
+        Ok(Read::Large(parts, self))
+    }
+}
+
+/// What has been read of a client's body.
+pub enum Read {
+    /// All of it.
+    Whole(Bytes),
+    /// The beginning of one that has to pass through, and the rest.
+    Large(Vec<Bytes>, Paced),
+}
--- /dev/null
+++ b/src/proxy/bodies/download.rs
@@ -0,0 +1,176 @@
+//! An answer's body on its way to a client.
+
+use super::PASSED_CAP;
+use super::transfers::Permit;
+use crate::proxy::BODY_CAP;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::{Instant, Sleep, sleep_until};
+
+/// How long a backend may pause in the middle of a large answer once its request's time has ended. Of an answer over
+/// [`BODY_CAP`] only the first bytes are timed, and what a backend still gives is not cut off; of any other, the last
+/// byte is.
+const ANSWER_PAUSE: Duration = Duration::from_secs(3);
+/// How long after its time an answer may become a large one: what has not ended half a second after it is lost.
+const LATE_BY: Duration = Duration::from_millis(300);
+
+/// An answer's body that passes through to a client. What it holds on to is given back at its end.
+pub struct Download {
+    begun: std::vec::IntoIter<Bytes>,
+    rest: Incoming,
+    left: Option<u64>,
+    received: u64,
+    is_large: bool,
+    /// When the request's time ends.
+    until: Instant,
+    /// Since when more of it is waited for; `None`: what came last is still on its way to the client, however long
+    /// that takes it.
+    waits_since: Option<Instant>,
+    late: Pin<Box<Sleep>>,
+    at_end: Option<Box<dyn FnOnce()>>,
+    /// Waited for here, where no server's slot is held any more.
+    awaited: Option<Permit>,
+    permit: Option<OwnedSemaphorePermit>,
+}
+
+impl std::fmt::Debug for Download {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Download").field("left", &self.left).finish_non_exhaustive()
+    }
+}
+
+impl Download {
+    /// A body of which this much has been read, of a request whose time ends at `until`. `at_end` is called once all
+    /// of it has come.
+    #[must_use]
+    pub fn new(
+        begun: Vec<Bytes>,
+        rest: Incoming,
+        until: Instant,
+        permit: Permit,
+        at_end: Box<dyn FnOnce()>,
+    ) -> Self {
+        let received = begun.iter().map(|data| data.len() as u64).sum::<u64>();
+        let left = rest.size_hint().exact().map(|left| left + received);
+        Self {
+            begun: begun.into_iter(),
+            rest,
+            left,
+            received,
+            is_large: left.unwrap_or(received) > BODY_CAP as u64,
+            until,
+            waits_since: None,
+            late: Box::pin(sleep_until(until)),
+            at_end: Some(at_end),
+            awaited: Some(permit),
+            permit: None,
+        }
+    }
+
+    fn finish(&mut self) {
+        self.permit = None;
+        if let Some(at_end) = self.at_end.take() {
+            at_end();
+        }
+    }
+
+    fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, io::Error>>> {
+        if let Some(data) = self.begun.next() {
+            return Poll::Ready(Some(Ok(data)));
+        }
+        if let Some(awaited) = &mut self.awaited {
+            let Poll::Ready(permit) = awaited.as_mut().poll(cx) else { return Poll::Pending };
+            (self.permit, self.awaited) = (permit, None);
+        }
+        loop {
+            let Poll::Ready(frame) = Pin::new(&mut self.rest).poll_frame(cx) else {
+                let pause_ends = *self.waits_since.get_or_insert_with(Instant::now) + ANSWER_PAUSE;
+                let due = if self.is_large { self.until.max(pause_ends) } else { self.until + LATE_BY };
+                if self.late.deadline() != due {
+                    self.late.as_mut().reset(due);
+                }
+                return self.late.as_mut().poll(cx).map(|()| Some(Err(io::ErrorKind::TimedOut.into())));
+            };
+            self.waits_since = None;
+            match frame {
+                None => {
+                    self.finish();
+                    return Poll::Ready(None);
+                }
+                Some(Err(error)) => return Poll::Ready(Some(Err(io::Error::other(error)))),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.received += data.len() as u64;
+                        self.is_large |= self.received > BODY_CAP as u64;
+                        // One that tells no length may have no end.
+                        if self.left.is_none() && self.received > PASSED_CAP {
+                            return Poll::Ready(Some(Err(io::ErrorKind::FileTooLarge.into())));
+                        }
+                        return Poll::Ready(Some(Ok(data)));
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// An answer's body on its way to a client.
+#[derive(Debug)]
+pub enum Answered {
+    /// One that is held whole.
+    Whole(Full<Bytes>),
+    /// One that passes through.
+    Through(Box<Download>),
+}
+
+impl From<Bytes> for Answered {
+    fn from(body: Bytes) -> Self {
+        Self::Whole(Full::new(body))
+    }
+}
+
+impl Body for Answered {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match &mut *self {
+            Self::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            Self::Through(download) => {
+                let polled = download.poll_data(cx);
+                if let (Poll::Ready(Some(Ok(data))), Some(left)) = (&polled, &mut download.left) {
+                    *left = left.saturating_sub(data.len() as u64);
+                    // Where the length is known, nobody asks what comes after it.
+                    if *left == 0 {
+                        download.finish();
+                    }
+                }
+                polled.map_ok(Frame::data)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(body) => body.is_end_stream(),
+            Self::Through(download) => download.left == Some(0),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => body.size_hint(),
+            Self::Through(download) => download.left.map(SizeHint::with_exact).unwrap_or_default(),
+        }
+    }
+}
--- /dev/null
+++ b/src/proxy/bodies/upload.rs
@@ -0,0 +1,168 @@
+//! A request's body on its way to a backend.
+
+use super::client::{Fault, Paced};
+use crate::api::RequestId;
+use crate::proxy::driver::{Handle, Message};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Frame, SizeHint};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::sync::{Notify, OwnedSemaphorePermit};
+use tokio::time::Instant;
+
+/// A request's body that passes through to a backend. It can be sent once.
+pub struct Upload {
+    request: RequestId,
+    handle: Handle,
+    length: Option<u64>,
+    source: RefCell<Option<(Vec<Bytes>, Paced)>>,
+    /// When its last byte went out, and how many there were.
+    ended: Cell<Option<(Instant, u64)>>,
+    fault: Cell<Option<Fault>>,
+    on_end: Notify,
+    _permit: Option<OwnedSemaphorePermit>,
+}
+
+impl std::fmt::Debug for Upload {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Upload").field("request", &self.request).finish_non_exhaustive()
+    }
+}
+
+impl Upload {
+    /// A body of which this much has been read.
+    #[must_use]
+    pub fn new(
+        request: RequestId,
+        handle: Handle,
+        begun: Vec<Bytes>,
+        rest: Paced,
+        permit: Option<OwnedSemaphorePermit>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            request,
+            handle,
+            length: rest.length(),
+            source: RefCell::new(Some((begun, rest))),
+            ended: Cell::new(None),
+            fault: Cell::new(None),
+            on_end: Notify::new(),
+            _permit: permit,
+        })
+    }
+
+    /// Its length, where the head told it.
+    #[must_use]
+    pub fn length(&self) -> Option<u64> {
+        self.length
+    }
+
+    /// Whether any of it may have gone out.
+    #[must_use]
+    pub fn is_spent(&self) -> bool {
+        self.source.borrow().is_none()
+    }
+
+    /// What was wrong with it on the client's side.
+    #[must_use]
+    pub fn fault(&self) -> Option<Fault> {
+        self.fault.get()
+    }
+
+    /// How many bytes it had, once all have gone out.
+    #[must_use]
+    pub fn sent(&self) -> Option<u64> {
+        self.ended.get().map(|(_, bytes)| bytes)
+    }
+
+    fn finish(&self, bytes: u64) {
+        if self.ended.get().is_none() {
+            self.ended.set(Some((Instant::now(), bytes)));
+            self.on_end.notify_waiters();
+            self.handle.tell(Message::Uploaded(self.request));
+        }
+    }
+
+    /// Waits until its last byte has gone out.
+    pub async fn end(&self) -> Instant {
+        loop {
+            let notified = self.on_end.notified();
+            if let Some((at, _)) = self.ended.get() {
+                return at;
+            }
+            notified.await;
+        }
+    }
+}
+
+/// A request's body on its way to a backend.
+pub enum Outgoing {
+    /// One that is held whole.
+    Whole(Full<Bytes>),
+    /// One that passes through.
+    Through(Rc<Upload>, std::vec::IntoIter<Bytes>, Paced),
+}
+
+impl Outgoing {
+    /// The body for an attempt; `None` where it was sent before.
+    #[must_use]
+    pub fn of(whole: &Bytes, upload: Option<&Rc<Upload>>) -> Option<Self> {
+        let Some(upload) = upload else { return Some(Self::Whole(Full::new(whole.clone()))) };
+        let (begun, rest) = upload.source.borrow_mut().take()?;
+        Some(Self::Through(Rc::clone(upload), begun.into_iter(), rest))
+    }
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let (upload, begun, rest) = match &mut *self {
+            Self::Whole(body) => return Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            Self::Through(upload, begun, rest) => (upload, begun, rest),
+        };
+        if let Some(data) = begun.next() {
+            return Poll::Ready(Some(Ok(Frame::data(data))));
+        }
+        rest.poll_data(cx).map(|data| match data {
+            Some(Ok(data)) => {
+                // Where the length is known, nobody asks what comes after it.
+                if upload.length == Some(rest.received) {
+                    upload.finish(rest.received);
+                }
+                Some(Ok(Frame::data(data)))
+            }
+            Some(Err(fault)) => {
+                upload.fault.set(Some(fault));
+                Some(Err(io::Error::other("the client's body did not come whole")))
+            }
+            None => {
+                upload.finish(rest.received);
+                None
+            }
+        })
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(body) => body.is_end_stream(),
+            // Its end has to be seen, for the time of the request counts from there.
+            Self::Through(..) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => body.size_hint(),
+            Self::Through(upload, ..) => upload.length.map(SizeHint::with_exact).unwrap_or_default(),
+        }
+    }
+}
