Hold bodies in one buffer, and bound the memory of all held bodies of requests

Cause: a held body was bounded by its bytes and kept as the pieces in which it came: 32 bytes of handle for each, and the read buffer that it was cut from. And nothing bounded what all held bodies take together.

Change: bodies are copied into one contiguous buffer, whose memory follows from their length; also the beginnings of large bodies, answers, discovery's lists, the answers of a group's peers and what callers send to the list service. The held bodies of requests share a quarter of memory_mb, reserved as bytes arrive and given back with the last copy; what finds none is refused, unsent.

--- a/src/group/peers.rs
+++ b/src/group/peers.rs
@@ -4,8 +4,9 @@
 use super::election::Patience;
 use super::events::say;
 use super::types::{LogId, Raft, Snapshot, Types, Vote};
+use crate::body_buffer::collect;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -268,8 +269,8 @@
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Bytes, PeerError> {
         let answer = self.client.request(request).await;
         let (head, body) = answer.map_err(|error| PeerError::Unreachable(chain(&error)))?.into_parts();
-        let body = Limited::new(body, SNAPSHOT_CAP).collect().await;
-        let body = body.map_err(|error| PeerError::Garbled(error.to_string()))?.to_bytes();
+        let body = collect(body, SNAPSHOT_CAP).await;
+        let body = body.map_err(|error| PeerError::Garbled(error.to_string()))?;
         if head.status == StatusCode::OK {
             return Ok(body);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod api;
 pub mod balancer;
+pub mod body_buffer;
 pub mod group;
 pub mod names;
 pub mod proxy;
--- a/src/proxy/bodies/answer.rs
+++ b/src/proxy/bodies/answer.rs
@@ -1,6 +1,6 @@
 //! The beginning of a backend's answer: held whole, or found too large for that.
 
-use super::join;
+use crate::body_buffer::BodyBuffer;
 use crate::proxy::BODY_CAP;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -13,7 +13,7 @@
     /// All of it.
     Whole(Bytes),
     /// The beginning of one that has to pass through, and the rest.
-    Large(Vec<Bytes>, Incoming),
+    Large(Bytes, Incoming),
 }
 
 /// Reads an answer's body up to [`BODY_CAP`]. One of unknown length that takes longer than `patience` passes
@@ -22,27 +22,26 @@
 /// # Errors
 /// Where the body breaks off.
 pub async fn begin(mut body: Incoming, patience: Duration) -> Result<Begun, hyper::Error> {
-    let (mut parts, mut size) = (Vec::new(), 0);
     let length = body.size_hint().exact();
     if length.is_some_and(|length| length > BODY_CAP as u64) {
-        return Ok(Begun::Large(parts, body));
+        return Ok(Begun::Large(Bytes::new(), body));
     }
+    let mut held = BodyBuffer::new(BODY_CAP);
     let until = Instant::now() + patience;
     loop {
         let frame = tokio::select! {
             biased;
             frame = body.frame() => frame,
-            () = sleep_until(until), if length.is_none() && size > 0 => {
-                return Ok(Begun::Large(parts, body));
+            () = sleep_until(until), if length.is_none() && !held.is_empty() => {
+                return Ok(Begun::Large(held.into(), body));
             }
         };
-        let Some(frame) = frame else { return Ok(Begun::Whole(join(parts))) };
+        let Some(frame) = frame else { return Ok(Begun::Whole(held.into())) };
         if let Ok(data) = frame?.into_data() {
-            size += data.len();
-            parts.push(data);
+            held.push(&data);
         }
-        if size > BODY_CAP {
-            return Ok(Begun::Large(parts, body));
+        if held.len() > BODY_CAP {
+            return Ok(Begun::Large(held.into(), body));
         }
     }
 }
--- a/src/proxy/bodies/client.rs
+++ b/src/proxy/bodies/client.rs
@@ -1,6 +1,7 @@
 //! A client's request body: how long it may be waited for, and how much of it is held.
 
-use super::{PASSED_CAP, join};
+use super::PASSED_CAP;
+use super::held::{HeldBody, HeldMemory, OutOfMemory};
 use crate::proxy::BODY_CAP;
 use bytes::Bytes;
 use hyper::StatusCode;
@@ -9,6 +10,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
+use thiserror::Error;
 use tokio::time::{Instant, Sleep, sleep_until};
 
 /// A peer's time for its body: it shrinks while nothing comes and grows with each byte at a rate that every peer
@@ -39,6 +41,17 @@
     }
 }
 
+/// Why a client's body was not read to the end of what is held.
+#[derive(Clone, Copy, Debug, Error)]
+pub enum ReadError {
+    /// It did not come as it should.
+    #[error("the body did not come whole: {0:?}")]
+    Fault(Fault),
+    /// Other bodies take the memory.
+    #[error(transparent)]
+    OutOfMemory(#[from] OutOfMemory),
+}
+
 /// A client's body, with a bound on how long it may be waited for. Only the time in which this side wants more
 /// counts: a backend that takes the body slowly does not make the client late.
 pub struct Paced {
@@ -95,27 +108,26 @@
         }
     }
 
-    /// Reads up to [`BODY_CAP`]: the whole body, or the beginning of one that has to pass through.
+    /// Reads up to [`BODY_CAP`]: the whole body, or the beginning of one that has to pass through. What is read is
+    /// held in `memory`.
     ///
     /// # Errors
-    /// Where it does not come as it should.
-    pub async fn read(mut self) -> Result<Read, Fault> {
+    /// Where it does not come as it should, or there is no memory for it.
+    pub async fn read(mut self, memory: HeldMemory) -> Result<Read, ReadError> {
         if self.length().is_some_and(|length| length > PASSED_CAP) {
-            return Err(Fault::TooLarge);
+            return Err(ReadError::Fault(Fault::TooLarge));
         }
-        let (mut parts, mut size) = (Vec::new(), 0);
-        if self.length().is_none_or(|length| length <= BODY_CAP as u64) {
-            while let Some(data) = std::future::poll_fn(|cx| self.poll_data(cx)).await {
-                let data = data?;
-                size += data.len();
-                parts.push(data);
-                if size > BODY_CAP {
-                    return Ok(Read::Large(parts, self));
-                }
+        if self.length().is_some_and(|length| length > BODY_CAP as u64) {
+            return Ok(Read::Large(Bytes::new(), self));
+        }
+        let mut held = HeldBody::new(memory);
+        while let Some(data) = std::future::poll_fn(|cx| self.poll_data(cx)).await {
+            held.push(&data.map_err(ReadError::Fault)?)?;
+            if held.len() > BODY_CAP {
+                return Ok(Read::Large(held.into_bytes(), self));
             }
-            return Ok(Read::Whole(join(parts)));
         }
-        Ok(Read::Large(parts, self))
+        Ok(Read::Whole(held.into_bytes()))
     }
 }
 
@@ -124,5 +136,5 @@
     /// All of it.
     Whole(Bytes),
     /// The beginning of one that has to pass through, and the rest.
-    Large(Vec<Bytes>, Paced),
+    Large(Bytes, Paced),
 }
--- a/src/proxy/bodies/download.rs
+++ b/src/proxy/bodies/download.rs
@@ -8,6 +8,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::future::Future;
 use std::io;
+use std::mem;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -23,7 +24,7 @@
 
 /// An answer's body that passes through to a client. What it holds on to is given back at its end.
 pub struct Download {
-    begun: std::vec::IntoIter<Bytes>,
+    begun: Bytes,
     rest: Incoming,
     left: Option<u64>,
     received: u64,
@@ -51,16 +52,16 @@
     /// of it has come.
     #[must_use]
     pub fn new(
-        begun: Vec<Bytes>,
+        begun: Bytes,
         rest: Incoming,
         until: Instant,
         permit: Permit,
         at_end: Box<dyn FnOnce()>,
     ) -> Self {
-        let received = begun.iter().map(|data| data.len() as u64).sum::<u64>();
+        let received = begun.len() as u64;
         let left = rest.size_hint().exact().map(|left| left + received);
         Self {
-            begun: begun.into_iter(),
+            begun,
             rest,
             left,
             received,
@@ -82,8 +83,8 @@
     }
 
     fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, io::Error>>> {
-        if let Some(data) = self.begun.next() {
-            return Poll::Ready(Some(Ok(data)));
+        if !self.begun.is_empty() {
+            return Poll::Ready(Some(Ok(mem::take(&mut self.begun))));
         }
         if let Some(awaited) = &mut self.awaited {
             let Poll::Ready(permit) = awaited.as_mut().poll(cx) else { return Poll::Pending };
--- a/src/proxy/bodies/mod.rs
+++ b/src/proxy/bodies/mod.rs
@@ -1,29 +1,22 @@
 //! Bodies that are too large to be held: they pass through, each side at the other's pace.
 //!
-//! Up to [`BODY_CAP`] a body is held whole, so that a request can be sent again and an answer is known to be whole
-//! before any of it is passed on. A larger one goes through buffers of fixed size, and how many of those there may
+//! Up to [`BODY_CAP`](super::BODY_CAP) a body is held whole, so that a request can be sent again and an answer is known
+//! to be whole before any of it is passed on. The held bodies of requests share a part of the memory limit. A larger one goes through buffers of fixed size, and how many of those there may
 //! be at a time is bounded for all connections together.
 
 mod answer;
 mod client;
 mod download;
+mod held;
 mod transfers;
 mod upload;
 
 pub use answer::{Begun, begin};
-pub use client::{Fault, Paced, Read};
+pub use client::{Fault, Paced, Read, ReadError};
 pub use download::{Answered, Download};
+pub use held::HeldMemory;
 pub use transfers::Transfers;
 pub use upload::{Outgoing, Upload};
 
-use bytes::Bytes;
-
 /// The largest body that is passed on. The platform's largest are 32 MB, and 60 MB are too much.
 pub const PASSED_CAP: u64 = 40 << 20;
-
-fn join(mut parts: Vec<Bytes>) -> Bytes {
-    if parts.len() <= 1 {
-        return parts.pop().unwrap_or_default();
-    }
-    parts.concat().into()
-}
--- a/src/proxy/bodies/upload.rs
+++ b/src/proxy/bodies/upload.rs
@@ -8,6 +8,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::mem;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -19,7 +20,7 @@
     request: RequestId,
     handle: Handle,
     length: Option<u64>,
-    source: RefCell<Option<(Vec<Bytes>, Paced)>>,
+    source: RefCell<Option<(Bytes, Paced)>>,
     /// When its last byte went out, and how many there were.
     ended: Cell<Option<(Instant, u64)>>,
     fault: Cell<Option<Fault>>,
@@ -39,7 +40,7 @@
     pub fn new(
         request: RequestId,
         handle: Handle,
-        begun: Vec<Bytes>,
+        begun: Bytes,
         rest: Paced,
         permit: Option<OwnedSemaphorePermit>,
     ) -> Rc<Self> {
@@ -104,7 +105,7 @@
     /// One that is held whole.
     Whole(Full<Bytes>),
     /// One that passes through.
-    Through(Rc<Upload>, std::vec::IntoIter<Bytes>, Paced),
+    Through(Rc<Upload>, Bytes, Paced),
 }
 
 impl Outgoing {
@@ -113,7 +114,7 @@
     pub fn of(whole: &Bytes, upload: Option<&Rc<Upload>>) -> Option<Self> {
         let Some(upload) = upload else { return Some(Self::Whole(Full::new(whole.clone()))) };
         let (begun, rest) = upload.source.borrow_mut().take()?;
-        Some(Self::Through(Rc::clone(upload), begun.into_iter(), rest))
+        Some(Self::Through(Rc::clone(upload), begun, rest))
     }
 }
 
@@ -129,8 +130,8 @@
             Self::Whole(body) => return Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
             Self::Through(upload, begun, rest) => (upload, begun, rest),
         };
-        if let Some(data) = begun.next() {
-            return Poll::Ready(Some(Ok(Frame::data(data))));
+        if !begun.is_empty() {
+            return Poll::Ready(Some(Ok(Frame::data(mem::take(begun)))));
         }
         rest.poll_data(cx).map(|data| match data {
             Some(Ok(data)) => {
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -1,7 +1,7 @@
 //! The clients' side: the listener, requests in, answers out.
 
 use super::backends::Call;
-use super::bodies::{Answered, Paced, Read, Transfers, Upload};
+use super::bodies::{Answered, Fault, HeldMemory, Paced, Read, ReadError, Transfers, Upload};
 use super::clock::Clock;
 use super::config::{Config, Names};
 use super::drain::{Drain, Phase};
@@ -122,6 +122,8 @@
     /// When the last answers are due, once the process is on its way to its end.
     ends_at: Cell<Option<Instant>>,
     transfers: Transfers,
+    held_memory: HeldMemory,
+    short_of_memory: Seldom,
 }
 
 /// A request that is answered here because the module can't be asked about it.
@@ -131,6 +133,15 @@
     /// It came too late for this process, or the process has its hands full; whoever asks another one after this
     /// time is served.
     Elsewhere(Micros),
+    /// The same for one whose body was not read to its end: the connection can't carry another request.
+    Unread(Micros),
+}
+
+impl From<Fault> for Rejected {
+    fn from(fault: Fault) -> Self {
+        let (status, why) = fault.status();
+        Self::Bad(status, why)
+    }
 }
 
 impl Rejected {
@@ -138,6 +149,11 @@
         let (status, why) = match self {
             Self::Bad(status, why) => (status, why),
             Self::Elsewhere(retry_after) => return refusal(retry_after),
+            Self::Unread(retry_after) => {
+                let mut response = refusal(retry_after);
+                close(&mut response);
+                return response;
+            }
         };
         let mut response = plain(status, why);
         if status == StatusCode::METHOD_NOT_ALLOWED {
@@ -228,6 +244,8 @@
             accepted_at: Cell::new(Instant::now()),
             ends_at: Cell::new(None),
             transfers,
+            held_memory: HeldMemory::within(config.memory),
+            short_of_memory: Seldom::default(),
         })
     }
 
@@ -501,8 +519,7 @@
         };
         guard.answered();
         if let Some(fault) = upload.and_then(|upload| upload.fault()) {
-            let (status, why) = fault.status();
-            return Rejected::Bad(status, why).response();
+            return Rejected::from(fault).response();
         }
         match answer {
             Ok(Answer::Served(served)) => {
@@ -556,12 +573,15 @@
         };
         let read = tokio::select! {
             biased;
-            read = Paced::new(body, body_within).read() => read,
+            read = Paced::new(body, body_within).read(self.held_memory.clone()) => read,
             () = self.ending() => return Err(self.elsewhere()),
         };
-        let read = read.map_err(|fault| {
-            let (status, why) = fault.status();
-            Rejected::Bad(status, why)
+        let read = read.map_err(|error| match error {
+            ReadError::Fault(fault) => Rejected::from(fault),
+            ReadError::OutOfMemory(reason) => {
+                self.short_of_memory.log(format_args!("requests are refused: {reason}"));
+                Rejected::Unread(self.table.borrow().retry_after)
+            }
         })?;
         if self.ends_at.get().is_some_and(|end| Instant::now() >= end) {
             return Err(self.elsewhere());
--- a/src/proxy/discovery/connection.rs
+++ b/src/proxy/discovery/connection.rs
@@ -1,8 +1,9 @@
 //! One connection to discovery: a call and what its answer holds.
 
 use super::error::{DiscoveryError, ListSize};
+use crate::body_buffer::{CollectError, collect};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Empty};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderValue};
@@ -88,13 +89,10 @@
     if let Some(length) = body.size_hint().exact().filter(|&length| length > LIST_CAP as u64) {
         return Err(DiscoveryError::TooLarge { size: ListSize::Exactly(length), cap: LIST_CAP });
     }
-    match Limited::new(body, LIST_CAP).collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            Err(DiscoveryError::TooLarge { size: ListSize::MoreThan(LIST_CAP), cap: LIST_CAP })
-        }
-        Err(_) => Err(DiscoveryError::Connection),
-    }
+    collect(body, LIST_CAP).await.map_err(|error| match error {
+        CollectError::TooLarge(cap) => DiscoveryError::TooLarge { size: ListSize::MoreThan(cap), cap },
+        CollectError::Broken(_) => DiscoveryError::Connection,
+    })
 }
 
 /// Reads the beginning of a service's reason for a refusal, fit for a line of the log.
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -27,8 +27,9 @@
 pub use query::{LONGEST_WAIT_MS, Query, Scope, ViewScope};
 pub use store::{News, Store};
 
+use crate::body_buffer::collect;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
@@ -146,7 +147,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let (head, body) = request.into_parts();
-    if Limited::new(body, BODY_CAP).collect().await.is_err() {
+    if collect(body, BODY_CAP).await.is_err() {
         return respond(StatusCode::PAYLOAD_TOO_LARGE, format!("a body holds {BODY_CAP} bytes at most"));
     }
     if head.uri.path() != LIST_PATH {
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -11,6 +11,7 @@
 mod restart;
 mod rig;
 mod sizes;
+mod small_chunks;
 mod tenants;
 mod views;
 mod watches;
