Bound the wait of a large body for its turn by its request's time

On the way back a client got the head of its answer and no more.

Cause: the bodies that may pass through at a time are bounded by permits, and the wait for one had no end: not the request's time, nor the end of the process. Permits are held for as long as the peers take. An answer waited after its head had been sent.

Change: a permit is given by a time or not at all. A request waits for a tenth of its time, as where all backends are full, and is then refused, unsent; the wait counts as its time. An answer waits before its head is sent, until its request's time ends, and is answered 502. Both end as the process does.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -51,7 +51,7 @@
 /// How long a report's part holds.
 const PART_HOLDS: Micros = 5 * SECOND;
 /// A request without room waits this part of its time left.
-const HOLD_PART: Micros = 10;
+pub(crate) const HOLD_PART: Micros = 10;
 /// Weight of one more failure in a server's failure share, and the share at which it is ejected. No single
 /// failure may do: where connections break now and then, every server would be out for most of the time.
 const FAILURE_WEIGHT: f64 = 0.25;
--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -470,10 +470,10 @@
             Begun::Large(..) if outcome != Outcome::Ok => None,
             Begun::Large(begun, rest) => {
                 conn.wire.bound();
-                let permit = self.transfers.down();
+                let transfers = self.transfers.clone();
                 let fleet = Rc::clone(self);
                 let at_end = Box::new(move || fleet.keep(&server, conn));
-                Some(Answered::Through(Box::new(Download::new(begun, rest, until, permit, at_end))))
+                Some(Answered::Through(Box::new(Download::new(begun, rest, until, transfers, at_end))))
             }
         };
         let served = body.filter(|_| outcome == Outcome::Ok);
--- a/src/proxy/bodies/download.rs
+++ b/src/proxy/bodies/download.rs
@@ -1,7 +1,7 @@
 //! An answer's body on its way to a client.
 
 use super::PASSED_CAP;
-use super::transfers::Permit;
+use super::transfers::{Permit, Transfers};
 use crate::proxy::BODY_CAP;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -12,7 +12,6 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, Sleep, sleep_until};
 
 /// How long a backend may pause in the middle of a large answer once its request's time has ended. Of an answer over
@@ -36,9 +35,8 @@
     waits_since: Option<Instant>,
     late: Pin<Box<Sleep>>,
     at_end: Option<Box<dyn FnOnce()>>,
-    /// Waited for here, where no server's slot is held any more.
-    awaited: Option<Permit>,
-    permit: Option<OwnedSemaphorePermit>,
+    transfers: Transfers,
+    permit: Option<Permit>,
 }
 
 impl std::fmt::Debug for Download {
@@ -48,14 +46,14 @@
 }
 
 impl Download {
-    /// A body of which this much has been read, of a request whose time ends at `until`. `at_end` is called once all
-    /// of it has come.
+    /// A body of which this much has been read, of a request whose time ends at `until`. It is one of these transfers
+    /// from [`Download::admit`] on. `at_end` is called once all of it has come.
     #[must_use]
     pub fn new(
         begun: Bytes,
         rest: Incoming,
         until: Instant,
-        permit: Permit,
+        transfers: Transfers,
         at_end: Box<dyn FnOnce()>,
     ) -> Self {
         let received = begun.len() as u64;
@@ -70,11 +68,18 @@
             waits_since: None,
             late: Box::pin(sleep_until(until)),
             at_end: Some(at_end),
-            awaited: Some(permit),
+            transfers,
             permit: None,
         }
     }
 
+    /// Waits until it may be passed on, while none of it has been: no server's slot is held any more. False where the
+    /// request's time ends before that.
+    pub async fn admit(&mut self) -> bool {
+        self.permit = self.transfers.down(self.until).await;
+        self.permit.is_some()
+    }
+
     fn finish(&mut self) {
         self.permit = None;
         if let Some(at_end) = self.at_end.take() {
@@ -86,10 +91,6 @@
         if !self.begun.is_empty() {
             return Poll::Ready(Some(Ok(mem::take(&mut self.begun))));
         }
-        if let Some(awaited) = &mut self.awaited {
-            let Poll::Ready(permit) = awaited.as_mut().poll(cx) else { return Poll::Pending };
-            (self.permit, self.awaited) = (permit, None);
-        }
         loop {
             let Poll::Ready(frame) = Pin::new(&mut self.rest).poll_frame(cx) else {
                 let pause_ends = *self.waits_since.get_or_insert_with(Instant::now) + ANSWER_PAUSE;
--- a/src/proxy/bodies/mod.rs
+++ b/src/proxy/bodies/mod.rs
@@ -15,7 +15,7 @@
 pub use client::{Fault, Paced, Read, ReadError};
 pub use download::{Answered, Download};
 pub use held::HeldMemory;
-pub use transfers::Transfers;
+pub use transfers::{Permit, Transfers};
 pub use upload::{Outgoing, Upload};
 
 /// The largest body that is passed on. The platform's largest are 32 MB, and 60 MB are too much.
--- a/src/proxy/bodies/transfers.rs
+++ b/src/proxy/bodies/transfers.rs
@@ -1,21 +1,20 @@
 //! How many bodies may be passed through at a time.
 
-use std::future::Future;
-use std::pin::Pin;
 use std::sync::Arc;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{Instant, timeout_at};
 
-/// What one body on its way takes: read and write buffers of both connections, and what is between them.
+/// The bytes that one body on its way takes: read and write buffers of both connections, and what is between them.
 const TRANSFER: usize = 128 * 1024;
 /// The part of the memory limit that bodies on their way may take; two processes have it twice for a while.
 const MEMORY_PART: usize = 2;
 const LEAST_TRANSFERS: usize = 4;
 
-/// A permit that is being waited for.
-pub(super) type Permit = Pin<Box<dyn Future<Output = Option<OwnedSemaphorePermit>>>>;
+/// Counts a body on its way until it is dropped.
+pub type Permit = OwnedSemaphorePermit;
 
-/// How many bodies may be on their way at a time. Each direction has its own, so that a request's body does not
-/// wait for ever for the answer's.
+/// How many bodies may be on their way at a time. Each direction has its own, so that the bodies of requests don't
+/// keep answers from getting through.
 #[derive(Clone, Debug)]
 pub struct Transfers {
     up: Arc<Semaphore>,
@@ -30,16 +29,21 @@
         Self { up: each(), down: each() }
     }
 
-    /// Waits until one more request's body may begin. It ends when the permit is dropped.
-    pub async fn up(&self) -> Option<OwnedSemaphorePermit> {
-        // The semaphore is never closed.
-        Arc::clone(&self.up).acquire_owned().await.ok()
+    /// Waits until one more request's body may begin; `None` where none may by then.
+    pub async fn up(&self, until: Instant) -> Option<Permit> {
+        acquire(&self.up, until).await
     }
 
     /// The same for an answer's.
-    #[must_use]
-    pub fn down(&self) -> Permit {
-        let down = Arc::clone(&self.down);
-        Box::pin(async move { down.acquire_owned().await.ok() })
+    pub async fn down(&self, until: Instant) -> Option<Permit> {
+        acquire(&self.down, until).await
     }
 }
+
+/// Those that pass through do so at their peers' pace, which may take minutes: no request waits for them longer than
+/// its own time allows.
+async fn acquire(permits: &Arc<Semaphore>, until: Instant) -> Option<Permit> {
+    let acquired = timeout_at(until, Arc::clone(permits).acquire_owned()).await;
+    // The semaphore is never closed.
+    acquired.ok()?.ok()
+}
--- a/src/proxy/bodies/upload.rs
+++ b/src/proxy/bodies/upload.rs
@@ -1,6 +1,7 @@
 //! A request's body on its way to a backend.
 
 use super::client::{Fault, Paced};
+use super::transfers::Permit;
 use crate::api::RequestId;
 use crate::proxy::driver::{Handle, Message};
 use bytes::Bytes;
@@ -12,7 +13,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use tokio::sync::{Notify, OwnedSemaphorePermit};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// A request's body that passes through to a backend. It can be sent once.
@@ -25,7 +26,7 @@
     ended: Cell<Option<(Instant, u64)>>,
     fault: Cell<Option<Fault>>,
     on_end: Notify,
-    _permit: Option<OwnedSemaphorePermit>,
+    _permit: Permit,
 }
 
 impl std::fmt::Debug for Upload {
@@ -37,13 +38,7 @@
 impl Upload {
     /// A body of which this much has been read.
     #[must_use]
-    pub fn new(
-        request: RequestId,
-        handle: Handle,
-        begun: Bytes,
-        rest: Paced,
-        permit: Option<OwnedSemaphorePermit>,
-    ) -> Rc<Self> {
+    pub fn new(request: RequestId, handle: Handle, begun: Bytes, rest: Paced, permit: Permit) -> Rc<Self> {
         Rc::new(Self {
             request,
             handle,
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -1,7 +1,7 @@
 //! The clients' side: the listener, requests in, answers out.
 
 use super::backends::Call;
-use super::bodies::{Answered, Fault, HeldMemory, Paced, Read, ReadError, Transfers, Upload};
+use super::bodies::{Answered, Fault, HeldMemory, Paced, Permit, Read, ReadError, Transfers, Upload};
 use super::clock::Clock;
 use super::config::{Config, Names};
 use super::drain::{Drain, Phase};
@@ -11,6 +11,7 @@
 use super::tenants::TenantNames;
 use super::{Seldom, Spare};
 use crate::api::{ClassNumber, Effect, Micros, RequestId, Settings};
+use crate::balancer::HOLD_PART;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -517,23 +518,58 @@
                 () = self.cut_off(upload) => return self.elsewhere().response(),
             },
         };
+        let answer = self.admitted(answer.unwrap_or(Answer::Failed)).await;
         guard.answered();
         if let Some(fault) = upload.and_then(|upload| upload.fault()) {
             return Rejected::from(fault).response();
         }
         match answer {
-            Ok(Answer::Served(served)) => {
+            Answer::Served(served) => {
                 let mut response = Response::new(served.body);
                 if let Some(content_type) = served.content_type {
                     response.headers_mut().insert(header::CONTENT_TYPE, content_type);
                 }
                 response
             }
-            Ok(Answer::Refused { retry_after }) => refusal(retry_after),
-            Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
+            Answer::Refused { retry_after } => refusal(retry_after),
+            Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n"),
         }
     }
 
+    /// Waits until a request's large body may be passed on, for the part of the request's time for which requests are
+    /// held. The body may have come whole to this machine meanwhile: the wait counts as time of the request.
+    ///
+    /// # Errors
+    /// Where it may not, the request is refused; nothing of it was sent on.
+    async fn may_pass_on(&self, request: &mut crate::api::Request) -> Result<Permit, Rejected> {
+        let began = self.clock.now();
+        let until = self.clock.instant(began + request.patience / HOLD_PART);
+        let permit = tokio::select! {
+            biased;
+            permit = self.transfers.up(until) => permit,
+            () = self.ending() => None,
+        };
+        request.patience = request.patience.saturating_sub(self.clock.now() - began);
+        permit.ok_or_else(|| Rejected::Unread(self.table.borrow().retry_after))
+    }
+
+    /// An answer as it may be passed on: a large one that has to wait for others until its request's time ends, or the
+    /// process does, has failed.
+    async fn admitted(&self, answer: Answer) -> Answer {
+        let Answer::Served(mut served) = answer else { return answer };
+        if let Answered::Through(download) = &mut served.body {
+            let is_admitted = tokio::select! {
+                biased;
+                is_admitted = download.admit() => is_admitted,
+                () = self.ending() => false,
+            };
+            if !is_admitted {
+                return Answer::Failed;
+            }
+        }
+        Answer::Served(served)
+    }
+
     async fn inbound(&self, request: Request<Incoming>, body_within: Duration) -> Result<Inbound, Rejected> {
         let (head, body) = request.into_parts();
         let bad = |why| Rejected::Bad(StatusCode::BAD_REQUEST, why);
@@ -589,7 +625,7 @@
         let (body, upload) = match read {
             Read::Whole(body) => (body, None),
             Read::Large(begun, rest) => {
-                let permit = self.transfers.up().await;
+                let permit = self.may_pass_on(&mut request).await?;
                 (Bytes::new(), Some(Upload::new(request.id, self.handle.clone(), begun, rest, permit)))
             }
         };
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -13,6 +13,7 @@
 mod sizes;
 mod small_chunks;
 mod tenants;
+mod transfers;
 mod views;
 mod watches;
 
