Name a client's connection by both its ends in the tests of clients that go, and bound their waits

Cause: one whole run of tests/proxy, beside a release build, was ended after ten minutes with two tests of gone.rs still running. Three of their waits had no bound. One asks whether any connection still has the client's local port, a number that the kernel also gives to connections to other addresses; that this is what was waited for is suspected, not shown.

Change: the connection is looked for by both ends, as strict for the client that is meant, and every wait ends with a failure after the patience of a test. No check is dropped.

--- a/tests/proxy/gone.rs
+++ b/tests/proxy/gone.rs
@@ -28,25 +28,34 @@
 
 const WAYS: [Leave; 3] = [Leave::Close, Leave::Reset, Leave::HalfClose];
 
-/// Which end of a connection an address is.
-enum Column {
-    Local = 1,
-    Remote = 2,
-}
-
-/// Connections that the end which is looked at still holds, as the kernel lists them.
-fn established(column: Column, address: SocketAddr) -> usize {
+/// Connections to an address that the end which opened them still holds, as the kernel lists them; with `local`, only
+/// the one from there. A local port alone does not name a connection: the kernel gives it out again for another address.
+fn established(local: Option<SocketAddr>, remote: SocketAddr) -> usize {
     const ESTABLISHED: &str = "01";
-    let (column, port) = (column as usize, format!(":{:04X}", address.port()));
+    let port = |address: SocketAddr| format!(":{:04X}", address.port());
+    let is_wanted = |ends: &[&str]| {
+        let is_local = local.is_none_or(|local| ends[1].ends_with(&port(local)));
+        is_local && ends[2].ends_with(&port(remote)) && ends[3] == ESTABLISHED
+    };
     let table = std::fs::read_to_string("/proc/net/tcp").expect("the connections");
-    let ends = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
-    ends.filter(|c| c.len() > 3 && c[column].ends_with(&port) && c[3] == ESTABLISHED).count()
+    let connections = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    connections.filter(|ends| ends.len() > 3 && is_wanted(ends)).count()
+}
+
+/// Waits until this holds; a test that waits for what never comes fails.
+fn wait_until(what: &str, holds: impl Fn() -> bool) {
+    let since = Instant::now();
+    while !holds() {
+        assert!(since.elapsed() < PATIENCE, "{what}: not within {PATIENCE:?}");
+        thread::yield_now();
+    }
 }
 
 /// Has a client go, and waits until it has: a program that another test starts just now may hold a copy of its socket.
 /// A client that ends its sending alone still has its own.
 fn leave(client: Client, how: Leave) -> Option<Client> {
-    let address = client.stream.local_addr().expect("an address");
+    let local = client.stream.local_addr().expect("an address");
+    let proxy = client.stream.peer_addr().expect("an address");
     let kept = match how {
         Leave::Close => {
             drop(client);
@@ -63,9 +72,7 @@
             Some(client)
         }
     };
-    while established(Column::Local, address) > 0 {
-        thread::yield_now();
-    }
+    wait_until("the client has gone", || established(Some(local), proxy) == 0);
     kept
 }
 
@@ -318,13 +325,12 @@
         let proxy = Proxy::start(&format!("gone-retry-{case}"), &discovery, &members);
         let mut leaver = proxy.client();
         leaver.send(&(request("read", "gone", "") + rest));
-        let seen = loop {
-            if let Ok(id) = one.heads.try_recv().or_else(|_| two.heads.try_recv()) {
-                break id;
-            }
-            thread::yield_now();
-        };
-        assert_eq!(seen, "gone");
+        let seen = std::cell::OnceCell::new();
+        wait_until("a backend sees the request", || {
+            let head = one.heads.try_recv().or_else(|_| two.heads.try_recv());
+            head.is_ok_and(|id| seen.set(id).is_ok())
+        });
+        assert_eq!(seen.get().map(String::as_str), Some("gone"));
         let _gone = leave(leaver, how);
         notice(&proxy);
         one.open();
@@ -443,10 +449,10 @@
     let text = request("submit", "gone", &"u".repeat(32 << 20));
     assert!(leaver.stream.write_all(text.as_bytes()).is_err(), "nothing more goes through");
     let (_stalled, _) = listener.accept().expect("the proxy's connection");
-    assert_eq!(established(Column::Remote, address), 1);
+    assert_eq!(established(None, address), 1);
     let _gone = leave(leaver, Leave::Reset);
     let since = Instant::now();
-    while established(Column::Remote, address) > 0 {
+    while established(None, address) > 0 {
         assert!(since.elapsed() < PATIENCE, "the backend's connection is held for nobody");
         thread::sleep(NOTICE);
     }
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -428,7 +428,9 @@
     pub fn pause(&self) {
         self.signal("-STOP");
         let state = format!("/proc/{}/status", self.child.id());
+        let since = Instant::now();
         while !fs::read_to_string(&state).expect("its state").contains("State:\tT") {
+            assert!(since.elapsed() < PATIENCE, "the proxy is not stopped");
             thread::yield_now();
         }
     }
