Drop a method that nobody calls, and say in the module's words what bodies are

Need: read once more, the held bodies had a method without a caller, a line of documentation was not wrapped, and a test an import too many.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -50,7 +50,7 @@
 const MOST_PART: f64 = 1.5;
 /// How long a report's part holds.
 const PART_HOLDS: Micros = 5 * SECOND;
-/// A request without room waits this part of its time left.
+/// A request without room waits its time left divided by this.
 pub(crate) const HOLD_PART: Micros = 10;
 /// Weight of one more failure in a server's failure share, and the share at which it is ejected. No single
 /// failure may do: where connections break now and then, every server would be out for most of the time.
--- a/src/proxy/bodies/held.rs
+++ b/src/proxy/bodies/held.rs
@@ -29,12 +29,6 @@
         Self { free: Arc::new(Semaphore::new(memory / MEMORY_PART)) }
     }
 
-    /// The bytes that are free.
-    #[must_use]
-    pub fn free(&self) -> usize {
-        self.free.available_permits()
-    }
-
     fn reserve(&self, bytes: usize) -> Result<OwnedSemaphorePermit, OutOfMemory> {
         let permits = u32::try_from(bytes).map_err(|_| OutOfMemory)?;
         Arc::clone(&self.free).try_acquire_many_owned(permits).map_err(|_| OutOfMemory)
--- a/src/proxy/bodies/mod.rs
+++ b/src/proxy/bodies/mod.rs
@@ -1,8 +1,9 @@
-//! Bodies that are too large to be held: they pass through, each side at the other's pace.
+//! The bodies of requests and answers: held whole, or passed through, each side at the other's pace.
 //!
 //! Up to [`BODY_CAP`](super::BODY_CAP) a body is held whole, so that a request can be sent again and an answer is known
-//! to be whole before any of it is passed on. The held bodies of requests share a part of the memory limit. A larger one goes through buffers of fixed size, and how many of those there may
-//! be at a time is bounded for all connections together.
+//! to be whole before any of it is passed on. The held bodies of requests share a part of the memory limit. A larger one
+//! goes through buffers of fixed size, and how many of those there may be at a time is bounded for all connections
+//! together.
 
 mod answer;
 mod client;
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -124,6 +124,7 @@
     ends_at: Cell<Option<Instant>>,
     transfers: Transfers,
     held_memory: HeldMemory,
+    /// The log line on requests that find no memory.
     short_of_memory: Seldom,
 }
 
@@ -536,8 +537,8 @@
         }
     }
 
-    /// Waits until a request's large body may be passed on, for the part of the request's time for which requests are
-    /// held. The body may have come whole to this machine meanwhile: the wait counts as time of the request.
+    /// Waits until a request's large body may be passed on, for the same part of the request's time as where no backend
+    /// has room. The body may have come whole to this machine meanwhile, so that the wait counts as time of the request.
     ///
     /// # Errors
     /// Where it may not, the request is refused; nothing of it was sent on.
--- a/tests/proxy/transfers.rs
+++ b/tests/proxy/transfers.rs
@@ -1,7 +1,7 @@
 //! Requests that find as many large bodies on their way as there may be: each gets its final answer in its time.
 
 use crate::rig::*;
-use std::io::{Read, Write};
+use std::io::Read;
 use std::time::{Duration, Instant};
 
 /// How many bodies may be on their way in each direction with the least memory.
