Move a request's head and the proxy's own answers out of clients.rs

clients.rs had grown to 738 lines. request_head.rs holds what a head has to say and what of it goes on, responses.rs the answers that the proxy makes itself. Moved, not changed: the checks of a head are the same lines in the same order.

--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -1,33 +1,32 @@
 //! The clients' side: the listener, requests in, answers out.
 
 use super::backends::Call;
-use super::bodies::{Answered, Fault, HeldMemory, Paced, Permit, Read, ReadError, Transfers, Upload};
+use super::bodies::{Answered, HeldMemory, Paced, Permit, Read, ReadError, Transfers, Upload};
 use super::clock::Clock;
 use super::config::{Config, Names};
 use super::drain::{Drain, Phase};
 use super::driver::{Answer, Handle, Inbound, Message};
 use super::pace::{Asking, Pace};
+use super::request_head::{Table, forwarded, origin_form};
+use super::responses::{Rejected, close, plain, refusal};
 use super::socket::{Counted, Wire, WireIo};
-use super::tenants::TenantNames;
 use super::{Seldom, Spare};
-use crate::api::{ClassNumber, Effect, Micros, RequestId, Settings};
+use crate::api::{ClassNumber, RequestId, Settings};
 use crate::balancer::HOLD_PART;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::header;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode, Uri, Version};
+use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::rt::TokioIo;
-use rustc_hash::{FxHashMap, FxHasher};
+use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
-use std::hash::Hasher;
 use std::io;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -54,54 +53,6 @@
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// The largest head of a request.
 const HEAD_CAP: usize = 32 * 1024;
-/// How long a client that comes as this process ends stays away: the front knows of the end by then.
-const ELSEWHERE: Micros = 100_000;
-/// A time left beyond this makes no sense.
-const MOST_TIME_LEFT_MS: u64 = 3_600_000;
-
-const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
-const SERVICE_CLASS: HeaderName = HeaderName::from_static("x-service-class");
-const ACCOUNT: HeaderName = HeaderName::from_static("x-account");
-const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
-const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
-const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
-const WEIGHT_HINT: HeaderName = HeaderName::from_static("x-weight-hint");
-
-#[derive(Clone)]
-struct Class {
-    number: ClassNumber,
-    deadline: Micros,
-    keyed: bool,
-    method: Method,
-}
-
-/// What the settings in force name.
-struct Table {
-    classes: FxHashMap<String, Class>,
-    tenants: Arc<TenantNames>,
-    longest: Micros,
-    /// What a client is told that can't be taken here: another proxy may serve it as soon as it asks there.
-    /// 0: the settings allow no word.
-    retry_after: Micros,
-}
-
-impl Table {
-    fn new(settings: &Settings, names: &Names, numbers: &[ClassNumber]) -> Self {
-        let class = |c: &crate::api::Class, number| Class {
-            number,
-            deadline: c.deadline,
-            keyed: matches!(c.effect, Effect::Keyed { .. }),
-            method: if c.effect == Effect::Safe { Method::GET } else { Method::POST },
-        };
-        let classes = settings.classes.iter().zip(numbers).map(|(c, &n)| (c.name.clone(), class(c, n)));
-        Self {
-            classes: classes.collect(),
-            tenants: Arc::clone(&names.tenants),
-            longest: settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default(),
-            retry_after: settings.permissions.retry_after.map_or(0, |most| most.min(ELSEWHERE)),
-        }
-    }
-}
 
 /// What all client connections share.
 pub struct Clients {
@@ -128,46 +79,6 @@
     short_of_memory: Seldom,
 }
 
-/// A request that is answered here because the module can't be asked about it.
-enum Rejected {
-    /// It is not as it should be.
-    Bad(StatusCode, &'static str),
-    /// It came too late for this process, or the process has its hands full; whoever asks another one after this
-    /// time is served.
-    Elsewhere(Micros),
-    /// The same for one whose body was not read to its end: the connection can't carry another request.
-    Unread(Micros),
-}
-
-impl From<Fault> for Rejected {
-    fn from(fault: Fault) -> Self {
-        let (status, why) = fault.status();
-        Self::Bad(status, why)
-    }
-}
-
-impl Rejected {
-    fn response(self) -> Response<Answered> {
-        let (status, why) = match self {
-            Self::Bad(status, why) => (status, why),
-            Self::Elsewhere(retry_after) => return refusal(retry_after),
-            Self::Unread(retry_after) => {
-                let mut response = refusal(retry_after);
-                close(&mut response);
-                return response;
-            }
-        };
-        let mut response = plain(status, why);
-        if status == StatusCode::METHOD_NOT_ALLOWED {
-            response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, POST"));
-        }
-        if status == StatusCode::PAYLOAD_TOO_LARGE || status == StatusCode::REQUEST_TIMEOUT {
-            close(&mut response);
-        }
-        response
-    }
-}
-
 /// An open connection, as seen by whoever looks for one to close.
 struct Seat {
     pace: Rc<Pace>,
@@ -573,41 +484,8 @@
 
     async fn inbound(&self, request: Request<Incoming>, body_within: Duration) -> Result<Inbound, Rejected> {
         let (head, body) = request.into_parts();
-        let bad = |why| Rejected::Bad(StatusCode::BAD_REQUEST, why);
-        let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
-        let in_path = head.uri.path().split('/').nth(1).unwrap_or_default();
         let table = Rc::clone(&self.table.borrow());
-        let facts = table.classes.get(in_path).ok_or(bad("unknown class\n"))?;
-        if head.headers.contains_key(SERVICE_CLASS) && text(SERVICE_CLASS) != Some(in_path) {
-            return Err(bad("the class of the header is not that of the path\n"));
-        }
-        if head.method != facts.method {
-            return Err(Rejected::Bad(StatusCode::METHOD_NOT_ALLOWED, "not the method of this class\n"));
-        }
-        // Without its key a repeat would not be dropped.
-        if facts.keyed && text(IDEMPOTENCY_KEY).is_none_or(str::is_empty) {
-            return Err(bad("Idempotency-Key is missing\n"));
-        }
-        if text(CORRELATION_ID).is_none_or(str::is_empty) {
-            return Err(bad("X-Correlation-Id is missing\n"));
-        }
-        let tenant = match text(ACCOUNT) {
-            _ if table.tenants.is_empty() => 0,
-            account => account.and_then(|a| table.tenants.find(a)).ok_or(bad("unknown account\n"))?,
-        };
-        let time_left = text(TIME_LEFT).and_then(|v| v.trim().parse::<u64>().ok());
-        let time_left = time_left.filter(|&ms| ms <= MOST_TIME_LEFT_MS);
-        let patience = time_left.ok_or(bad("X-Time-Left-Ms is missing or makes no sense\n"))? * 1_000;
-        let mut request = crate::api::Request {
-            id: self.handle.number(),
-            class: facts.number,
-            tenant,
-            key: head.uri.query().and_then(key),
-            patience: patience.min(facts.deadline),
-            work: text(WEIGHT_HINT).and_then(|v| v.trim().parse().ok()),
-            repeat: text(REPEAT) == Some("1"),
-            upload: false,
-        };
+        let mut request = table.request(self.handle.number(), &head)?;
         let read = tokio::select! {
             biased;
             read = Paced::new(body, body_within).read(self.held_memory.clone()) => read,
@@ -661,70 +539,6 @@
     }
 }
 
-/// The headers that go on: all but those that speak of this one connection or of the message's framing.
-fn forwarded(mut headers: HeaderMap) -> HeaderMap {
-    let named = headers.get_all(header::CONNECTION).iter().filter_map(|v| v.to_str().ok());
-    let named: Vec<HeaderName> =
-        named.flat_map(|v| v.split(',')).filter_map(|name| name.trim().parse().ok()).collect();
-    for name in named.iter().filter(|name| **name != CORRELATION_ID && **name != IDEMPOTENCY_KEY) {
-        headers.remove(name);
-    }
-    let hop = [
-        header::CONNECTION,
-        header::CONTENT_LENGTH,
-        header::EXPECT,
-        header::PROXY_AUTHORIZATION,
-        header::TE,
-        header::TRAILER,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-        HeaderName::from_static("keep-alive"),
-        HeaderName::from_static("proxy-connection"),
-    ];
-    for name in hop {
-        headers.remove(name);
-    }
-    headers
-}
-
-/// What a request is about, as a number.
-fn key(query: &str) -> Option<u64> {
-    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let (_, value) = pairs.find(|(name, _)| *name == "key")?;
-    u64::from_str_radix(value, 16).ok().or_else(|| {
-        let mut hasher = FxHasher::default();
-        hasher.write(value.as_bytes());
-        Some(hasher.finish())
-    })
-}
-
-/// Path and query: what a backend is asked for, also where the client named the host in its first line.
-fn origin_form(target: Uri) -> Uri {
-    let path = target.path_and_query().cloned();
-    path.map_or(target, Uri::from)
-}
-
-fn plain(status: StatusCode, text: &'static str) -> Response<Answered> {
-    let mut response = Response::new(Answered::from(Bytes::from_static(text.as_bytes())));
-    *response.status_mut() = status;
-    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    response
-}
-
-fn refusal(retry_after: Micros) -> Response<Answered> {
-    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "no room\n");
-    if retry_after > 0
-        && let Ok(seconds) = HeaderValue::try_from(format!("{:.3}", retry_after as f64 / 1e6))
-    {
-        response.headers_mut().insert(header::RETRY_AFTER, seconds);
-    }
-    response
-}
-
-fn close(response: &mut Response<Answered>) {
-    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-}
-
 /// Ends the sending side and reads what still comes, for a while.
 async fn linger(mut stream: WireIo, silence: Duration) {
     if stream.shutdown().await.is_err() {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -14,6 +14,8 @@
 pub mod pace;
 pub mod program;
 mod reload;
+mod request_head;
+mod responses;
 mod shape;
 pub mod socket;
 pub mod tenants;
