Log each refusal, retry, failure and close with its reason and the request's id

Which clock a request ran on, and what it waited for, could only be had from the clients' records.

Change: src/proxy/event_log.rs writes one line an event, from typed events: rejected, refused, failed, overdue, retried, client_left, closed, phase.

--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -6,8 +6,9 @@
 use super::config::{Config, Names};
 use super::drain::{Drain, Phase};
 use super::driver::{Answer, Handle, Inbound, Message};
+use super::event_log::{self, CloseReason, Event, RefusalReason};
 use super::pace::{Asking, Pace};
-use super::request_head::{Table, forwarded, origin_form};
+use super::request_head::{Table, correlation_id, forwarded, origin_form};
 use super::responses::{Rejected, close, plain, refusal};
 use super::socket::{Counted, Wire, WireIo};
 use super::{Seldom, Spare};
@@ -25,6 +26,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -199,8 +201,13 @@
         }
     }
 
-    fn elsewhere(&self) -> Rejected {
-        Rejected::Elsewhere(self.table.borrow().retry_after)
+    fn refused(&self, reason: RefusalReason) -> Rejected {
+        Rejected::Refused { reason, retry_after: self.table.borrow().retry_after, is_read: true }
+    }
+
+    /// The same for a request whose body was not read to its end.
+    fn refused_unread(&self, reason: RefusalReason) -> Rejected {
+        Rejected::Refused { reason, retry_after: self.table.borrow().retry_after, is_read: false }
     }
 
     /// Open client connections.
@@ -275,10 +282,10 @@
             }
             let Ok(accepted) = timeout(look_again, listener.accept()).await else { continue };
             match accepted {
-                Ok((stream, _)) => {
+                Ok((stream, peer)) => {
                     self.accepted_at.set(Instant::now());
                     self.open.set(self.open.get() + 1);
-                    tokio::task::spawn_local(Rc::clone(&self).connection(stream));
+                    tokio::task::spawn_local(Rc::clone(&self).connection(stream, peer));
                 }
                 // Out of descriptors, or a client that is gone already: neither ends the proxy.
                 Err(error) => {
@@ -290,7 +297,7 @@
         }
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream) {
+    async fn connection(self: Rc<Self>, stream: TcpStream, peer: SocketAddr) {
         let _ = stream.set_nodelay(true);
         // The runtime reads a new socket before it has asked what is there: without this turn, the request of a client
         // that has gone while it waited to be accepted would be sent on.
@@ -328,17 +335,17 @@
         // A connection that comes while the others are being closed still gets its answer; that closes it.
         phase.mark_unchanged();
         let mut told = false;
-        loop {
+        let closed = loop {
             tokio::select! {
                 biased;
-                // How it ended does not matter here: a client that left has been reported by its guard.
-                _ = std::future::poll_fn(|cx| {
+                // A client that left has been reported by its guard.
+                closed = std::future::poll_fn(|cx| {
                     if let Poll::Ready(ended) = conn.poll_without_shutdown(cx) {
-                        return Poll::Ready(ended.is_ok());
+                        return Poll::Ready(ended.is_err().then_some(CloseReason::Broken));
                     }
                     // A client that has gone waits for nothing. HTTP itself sees that only where nothing is unread.
                     if pace.is_asking() && left.as_mut().poll(cx).is_ready() {
-                        return Poll::Ready(false);
+                        return Poll::Ready(Some(CloseReason::ClientLeft));
                     }
                     // What it is at may have changed; a late one is not waited for.
                     let now_in = *self.phase.borrow();
@@ -349,8 +356,12 @@
                     let is_late = late.as_mut().poll(cx).is_ready();
                     // Close to the end, bytes that are there already may be a whole request: they are read first.
                     let is_read_first = now_in == Phase::Ending && pace.has_unread();
-                    if is_late && !is_read_first { Poll::Ready(false) } else { Poll::Pending }
-                }) => break,
+                    if is_late && !is_read_first {
+                        Poll::Ready(Some(pace.late_reason(now_in)))
+                    } else {
+                        Poll::Pending
+                    }
+                }) => break closed,
                 Ok(()) = phase.changed(), if !told => {
                     // One on which a request is coming is answered first; the answer closes it.
                     if *phase.borrow_and_update() == Phase::Closing && pace.may_close() {
@@ -361,11 +372,14 @@
                 () = seat.leave.notified() => {
                     // A request may have come since it was asked.
                     if pace.idle_since().is_some() && !pace.has_unread() {
-                        break;
+                        break Some(CloseReason::MakesRoom);
                     }
                     seat.leaving.set(false);
                 }
             }
+        };
+        if let Some(reason) = closed {
+            event_log::record(&Event::Closed { peer, reason });
         }
         if !pace.resets() {
             let silence = if self.over() > 0 { HURRIED } else { LINGER };
@@ -389,11 +403,11 @@
         let mut response = if is_up {
             self.up()
         } else if !has_room {
-            self.elsewhere().response()
+            self.refused(RefusalReason::RequestsInWork).response(correlation_id(request.headers()))
         } else {
             match self.inbound(request, body_within).await {
                 Ok(inbound) => self.ask(inbound, pace).await,
-                Err(rejected) => rejected.response(),
+                Err(response) => response,
             }
         };
         // Close to the cap, connections are given back after each answer.
@@ -418,6 +432,8 @@
             std::future::pending::<()>().await;
         }
         let upload = inbound.call.upload.clone();
+        let id = correlation_id(&inbound.call.headers).map(str::to_owned);
+        let id = id.as_deref();
         let (sender, answer) = oneshot::channel();
         let guard =
             Guard { handle: &self.handle, request: inbound.request.id, answered: false, _asking: asking };
@@ -427,13 +443,13 @@
             Some(upload) => tokio::select! {
                 biased;
                 answer = answer => answer,
-                () = self.cut_off(upload) => return self.elsewhere().response(),
+                () = self.cut_off(upload) => return self.refused(RefusalReason::Ending).response(id),
             },
         };
         let answer = self.admitted(answer.unwrap_or(Answer::Failed)).await;
         guard.answered();
         if let Some(fault) = upload.and_then(|upload| upload.fault()) {
-            return Rejected::from(fault).response();
+            return Rejected::from(fault).response(id);
         }
         match answer {
             Answer::Served(served) => {
@@ -462,7 +478,7 @@
             () = self.ending() => None,
         };
         request.patience = request.patience.saturating_sub(self.clock.now() - began);
-        permit.ok_or_else(|| Rejected::Unread(self.table.borrow().retry_after))
+        permit.ok_or_else(|| self.refused_unread(RefusalReason::LargeBodies))
     }
 
     /// An answer as it may be passed on: a large one that has to wait for others until its request's time ends, or the
@@ -482,24 +498,47 @@
         Answer::Served(served)
     }
 
-    async fn inbound(&self, request: Request<Incoming>, body_within: Duration) -> Result<Inbound, Rejected> {
+    async fn inbound(
+        &self,
+        request: Request<Incoming>,
+        body_within: Duration,
+    ) -> Result<Inbound, Response<Answered>> {
         let (head, body) = request.into_parts();
         let table = Rc::clone(&self.table.borrow());
-        let mut request = table.request(self.handle.number(), &head)?;
+        let checked = table.request(self.handle.number(), &head);
+        let taken = match checked {
+            Ok(request) => self.take_body(request, body, body_within).await,
+            Err(rejected) => Err(rejected),
+        };
+        let (request, body, upload) =
+            taken.map_err(|rejected| rejected.response(correlation_id(&head.headers)))?;
+        let (method, target, headers) = (head.method, origin_form(head.uri), forwarded(head.headers));
+        let call = Call { method, target, headers, body, upload };
+        // The time of a request counts from its last byte.
+        Ok(Inbound { request, arrived: self.clock.now(), call })
+    }
+
+    /// The request with its body: held whole, or the beginning of one that passes through.
+    async fn take_body(
+        &self,
+        mut request: crate::api::Request,
+        body: Incoming,
+        body_within: Duration,
+    ) -> Result<(crate::api::Request, Bytes, Option<Rc<Upload>>), Rejected> {
         let read = tokio::select! {
             biased;
             read = Paced::new(body, body_within).read(self.held_memory.clone()) => read,
-            () = self.ending() => return Err(self.elsewhere()),
+            () = self.ending() => return Err(self.refused(RefusalReason::Ending)),
         };
         let read = read.map_err(|error| match error {
             ReadError::Fault(fault) => Rejected::from(fault),
             ReadError::OutOfMemory(reason) => {
                 self.short_of_memory.log(format_args!("requests are refused: {reason}"));
-                Rejected::Unread(self.table.borrow().retry_after)
+                self.refused_unread(RefusalReason::BodyMemory)
             }
         })?;
         if self.ends_at.get().is_some_and(|end| Instant::now() >= end) {
-            return Err(self.elsewhere());
+            return Err(self.refused(RefusalReason::Ending));
         }
         let (body, upload) = match read {
             Read::Whole(body) => (body, None),
@@ -509,10 +548,7 @@
             }
         };
         request.upload = upload.is_some();
-        let (method, target, headers) = (head.method, origin_form(head.uri), forwarded(head.headers));
-        let call = Call { method, target, headers, body, upload };
-        // The time of a request counts from its last byte.
-        Ok(Inbound { request, arrived: self.clock.now(), call })
+        Ok((request, body, upload))
     }
 }
 
--- a/src/proxy/drain.rs
+++ b/src/proxy/drain.rs
@@ -16,6 +16,7 @@
 //! two steps are the same, and nothing ends.
 
 use super::clients::Clients;
+use super::event_log;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -155,6 +156,7 @@
     fn change(&self, phase: Phase) -> u64 {
         self.turn.set(self.turn.get() + 1);
         self.phase.send_replace(phase);
+        event_log::record(&event_log::Event::Phase(phase));
         self.turn.get()
     }
 }
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -4,7 +4,9 @@
 use super::backends::{AttemptDue, Call, Ended, Fleet, Served, Standing};
 use super::clock::Clock;
 use super::discovery::Listed;
+use super::event_log::{self, RefusalReason};
 use super::log;
+use super::request_head::correlation_id;
 use crate::api::{
     Action, Backend, BackendId, ClassNumber, Event, Learnt, Membership, Micros, Outcome, Request, RequestId,
     Settings, Settled,
@@ -142,9 +144,16 @@
     /// `None` once the client has its final answer or has left.
     client: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
+    /// How the last attempt that ended did.
+    last: Option<Outcome>,
 }
 
 impl Open {
+    /// Its id, as the log names it.
+    fn id(&self) -> &str {
+        correlation_id(&self.call.headers).unwrap_or_default()
+    }
+
     fn is_over(&self) -> bool {
         self.client.is_none() && self.attempts.iter().all(|a| a.standing.is_none())
     }
@@ -266,8 +275,10 @@
 
     /// Rule 1: whatever the module is waiting for, the client gets an answer before its time ends.
     fn last_moment(&mut self, now: Micros, request: RequestId) {
-        let Some(client) = self.open.get_mut(&request).and_then(Open::dismiss) else { return };
+        let Some(open) = self.open.get_mut(&request) else { return };
+        let Some(client) = open.dismiss() else { return };
         let _ = client.send(Answer::Failed);
+        event_log::record(&event_log::Event::Overdue { id: open.id(), attempts: open.attempts.len() });
         self.feed(now, Event::ClientGone(request));
         self.forget(request);
     }
@@ -280,6 +291,8 @@
                 if let Some(open) = self.open.get_mut(&request)
                     && open.dismiss().is_some()
                 {
+                    let attempts = open.attempts.len();
+                    event_log::record(&event_log::Event::ClientLeft { id: open.id(), attempts });
                     self.feed(now, Event::ClientGone(request));
                     self.forget(request);
                 }
@@ -322,7 +335,8 @@
         request.patience = left.saturating_sub(ANSWER_MARGIN.min(left / 2));
         let last = now + left.saturating_sub(LAST_MARGIN.min(left / 4));
         let patience = request.patience;
-        let open = Open { call: Rc::new(call), patience, client: Some(client), attempts: Vec::new() };
+        let open =
+            Open { call: Rc::new(call), patience, client: Some(client), attempts: Vec::new(), last: None };
         self.open.insert(request.id, open);
         // While its body is coming, its time has not begun.
         if !request.upload {
@@ -386,6 +400,7 @@
         if attempt.standing.take().is_none() {
             return;
         }
+        open.last = Some(ended.outcome);
         let answered = ended.first_byte.map_or(now, |at| self.clock.at(at));
         let (backend, elapsed) = (attempt.backend, answered.saturating_sub(attempt.sent_at));
         // The first answer of a backend reaches the client without being asked for, as on the simulator.
@@ -437,10 +452,21 @@
     }
 
     fn answer(&mut self, request: RequestId, answer: Answer) {
-        if let Some(client) = self.open.get_mut(&request).and_then(Open::dismiss) {
-            let _ = client.send(answer);
-            self.forget(request);
+        let Some(open) = self.open.get_mut(&request) else { return };
+        let Some(client) = open.dismiss() else { return };
+        match answer {
+            Answer::Refused { .. } => {
+                let reason = RefusalReason::NoRoom;
+                event_log::record(&event_log::Event::Refused { id: Some(open.id()), reason });
+            }
+            Answer::Failed => {
+                let (attempts, last) = (open.attempts.len(), open.last);
+                event_log::record(&event_log::Event::Failed { id: open.id(), attempts, last });
+            }
+            Answer::Served(_) => {}
         }
+        let _ = client.send(answer);
+        self.forget(request);
     }
 
     fn send(
@@ -453,6 +479,10 @@
     ) {
         let Some(open) = self.open.get_mut(&request) else { return };
         let number = open.attempts.len() as u16;
+        if number > 0 {
+            let (id, attempt, after) = (open.id(), usize::from(number), open.last);
+            event_log::record(&event_log::Event::Retried { id, attempt, backend, after });
+        }
         let (standing, told) = watch::channel(Standing::Wanted);
         open.attempts.push(Attempt { backend, sent_at: now, standing: Some(standing) });
         let may_go = open.client.is_some() && usize::from(number) < self.max_attempts && give_up_at > now;
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -10,6 +10,7 @@
 pub mod discovery;
 pub mod drain;
 pub mod driver;
+pub mod event_log;
 pub mod handover;
 pub mod pace;
 pub mod program;
--- a/src/proxy/pace.rs
+++ b/src/proxy/pace.rs
@@ -1,6 +1,7 @@
 //! How long a client's connection may take for what it is at.
 
 use super::drain::Phase;
+use super::event_log::CloseReason;
 use super::socket::Wire;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -141,6 +142,19 @@
         }
     }
 
+    /// Why a connection that has taken too long ends, `phase` being that of the proxy.
+    #[must_use]
+    pub fn late_reason(&self, phase: Phase) -> CloseReason {
+        if self.wire.blocked_since().is_some() {
+            return CloseReason::AnswerNotTaken;
+        }
+        match self.at.get() {
+            _ if phase == Phase::Ending => CloseReason::Ending,
+            At::Head(_) => CloseReason::HeadLate,
+            At::Idle(..) | At::Request => CloseReason::Idle,
+        }
+    }
+
     /// When the connection has taken too long for what it is at, `phase` being that of the proxy.
     #[must_use]
     pub fn deadline(&self, phase: Phase) -> Option<Instant> {
--- a/src/proxy/request_head.rs
+++ b/src/proxy/request_head.rs
@@ -18,7 +18,7 @@
 const MOST_TIME_LEFT_MS: u64 = 3_600_000;
 
 /// The header that names a request.
-pub(super) const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
+const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
 const SERVICE_CLASS: HeaderName = HeaderName::from_static("x-service-class");
 const ACCOUNT: HeaderName = HeaderName::from_static("x-account");
 const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
@@ -46,6 +46,11 @@
     pub(super) retry_after: Micros,
 }
 
+/// The id of a request, where its head has one.
+pub(super) fn correlation_id(headers: &HeaderMap) -> Option<&str> {
+    headers.get(CORRELATION_ID).and_then(|id| id.to_str().ok())
+}
+
 impl Table {
     /// The table of these settings; `numbers` are those of the classes, in the settings' order.
     pub(super) fn new(settings: &Settings, names: &Names, numbers: &[ClassNumber]) -> Self {
@@ -83,7 +88,7 @@
         if class.keyed && text(IDEMPOTENCY_KEY).is_none_or(str::is_empty) {
             return Err(bad("Idempotency-Key is missing\n"));
         }
-        if text(CORRELATION_ID).is_none_or(str::is_empty) {
+        if correlation_id(&head.headers).is_none_or(str::is_empty) {
             return Err(bad("X-Correlation-Id is missing\n"));
         }
         let tenant = match text(ACCOUNT) {
--- a/src/proxy/responses.rs
+++ b/src/proxy/responses.rs
@@ -1,6 +1,7 @@
 //! Answers that the proxy makes itself: refusals, failures, and what is wrong with a request.
 
 use super::bodies::{Answered, Fault};
+use super::event_log::{self, Event, RefusalReason};
 use crate::api::Micros;
 use bytes::Bytes;
 use hyper::header::{self, HeaderValue};
@@ -10,11 +11,15 @@
 pub(super) enum Rejected {
     /// It is not as it should be.
     Bad(StatusCode, &'static str),
-    /// It came too late for this process, or the process has its hands full; whoever asks another one after this
-    /// time is served.
-    Elsewhere(Micros),
-    /// The same for one whose body was not read to its end: the connection can't carry another request.
-    Unread(Micros),
+    /// This process can't take it; whoever asks another one after this time is served.
+    Refused {
+        /// Why.
+        reason: RefusalReason,
+        /// The time; 0: no word on it.
+        retry_after: Micros,
+        /// Whether its body was read to its end: else the connection can't carry another request.
+        is_read: bool,
+    },
 }
 
 impl From<Fault> for Rejected {
@@ -25,17 +30,25 @@
 }
 
 impl Rejected {
-    /// The answer that says so.
-    pub(super) fn response(self) -> Response<Answered> {
-        let (status, why) = match self {
-            Self::Bad(status, why) => (status, why),
-            Self::Elsewhere(retry_after) => return refusal(retry_after),
-            Self::Unread(retry_after) => {
+    /// The answer that says so to the request with this id.
+    pub(super) fn response(self, id: Option<&str>) -> Response<Answered> {
+        match self {
+            Self::Bad(status, why) => {
+                event_log::record(&Event::Rejected { id, status: status.as_u16(), reason: why });
+                Self::bad(status, why)
+            }
+            Self::Refused { reason, retry_after, is_read } => {
+                event_log::record(&Event::Refused { id, reason });
                 let mut response = refusal(retry_after);
-                close(&mut response);
-                return response;
+                if !is_read {
+                    close(&mut response);
+                }
+                response
             }
-        };
+        }
+    }
+
+    fn bad(status: StatusCode, why: &'static str) -> Response<Answered> {
         let mut response = plain(status, why);
         if status == StatusCode::METHOD_NOT_ALLOWED {
             response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, POST"));
