--- a/tests/proxy/gone.rs
+++ b/tests/proxy/gone.rs
@@ -339,6 +339,34 @@
     });
 }
 
+/// Behind more than the receive window even the kernel does not know of the close.
+#[test]
+fn no_further_attempt_begins_once_its_client_has_gone_behind_more_than_the_receive_window() {
+    const BEHIND: usize = 400_000;
+    let whole = request("read", "behind", "");
+    for how in [Leave::Close, Leave::HalfClose] {
+        let discovery = Discovery::start();
+        let full = || Gated::answering(answer("503 Busy", "X-Unprocessed: 1\r\n", b""));
+        let (one, two) = (full(), full());
+        let members = [entry("s-1", one.address, "active", 0), entry("s-2", two.address, "active", 0)];
+        let proxy = Proxy::start(&format!("gone-far-{how:?}").to_lowercase(), &discovery, &members);
+        let mut leaver = proxy.client();
+        // The kernel takes all of it at once, and closes for the client once it can.
+        let socket = socket2::SockRef::from(&leaver.stream);
+        socket.set_send_buffer_size(4 * BEHIND).expect("an option");
+        leaver.send(&(request("read", "gone", "") + &whole.repeat(BEHIND / whole.len())));
+        wait_until("a backend sees the request", || {
+            one.heads.try_recv().or_else(|_| two.heads.try_recv()).is_ok_and(|id| id == "gone")
+        });
+        has_seen(&proxy);
+        let _gone = leave(leaver, how);
+        notice(&proxy);
+        one.open();
+        two.open();
+        assert_eq!([one.rest(NEVER), two.rest(NEVER)].concat(), [""; 0], "{how:?}");
+    }
+}
+
 /// The first attempt was turned away, and the request waits for another backend when its client goes.
 #[test]
 fn a_request_between_two_attempts_is_not_sent_once_its_client_has_gone() {
