Count the time of a large request from its last byte at the proxy's door, not at the server

Cause: no time ran for a request until the last byte of its body had gone out to a backend, for a slow client's own time is not the request's. But a server that does not read holds up the proxy's reading, and the client's last byte may have been written long before.

Fix: RequestClock counts from the end of the last wait for the client: a wait is when the body is wanted, the client's socket is empty, and that lasts 5 ms or more. Before that moment the client's last byte had not been written, so an answer at the end of the time is not late; while the client is waited for, no time runs. Attempts, large answers and the driver's last moment use it.

The test failed before (it stops at the first late request of each of its three servers) and passes now. A client that takes 3 s for its body is served as before (a_large_request_that_its_client_sends_slowly_is_served). Class of fault: a clock that starts at the wrong end of a queue. Related: the wait for a permit counted already; held requests and dials of large requests now count too.

--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -424,7 +424,7 @@
             biased;
             exchanged = exchange(&mut conn, request) => exchanged,
             Ok(_) = standing.wait_for(|now| is_withdrawn(&call, *now)) => Err(Broken::Cancelled),
-            () = time_up(&call, give_up, left) => Err(Broken::TimedOut),
+            () = time_up(&call, give_up) => Err(Broken::TimedOut),
         };
         // Rule 2: what the socket did not take whole can't run; of anything else nothing is certain. Reading
         // the count and dropping the connection happen in one step, so nothing more is written in between.
@@ -441,7 +441,7 @@
                 }
             }
             Ok(reply) => {
-                let until = end_of_time(&call, give_up, left).await;
+                let until = end_of_time(&call, give_up);
                 self.ended(reply, server, conn, until)
             }
             Err(_) if !all_written && call.upload.as_ref().is_some_and(|u| u.fault().is_some()) => {
@@ -547,19 +547,20 @@
     }
 }
 
-/// Waits until an attempt is to be given up. Where the body passes through, the time counts from its last byte: how
-/// long that takes is up to the client.
-async fn time_up(call: &Call, give_up: Instant, left: Duration) {
-    sleep_until(end_of_time(call, give_up, left).await).await;
-}
-
-async fn end_of_time(call: &Call, give_up: Instant, left: Duration) -> Instant {
+/// Waits until an attempt is to be given up. Where the body passes through, the request's own clock says when: how long
+/// the client takes for it is no time of the request.
+async fn time_up(call: &Call, give_up: Instant) {
     match &call.upload {
-        None => give_up,
-        Some(upload) => upload.end().await + left,
+        None => sleep_until(give_up).await,
+        Some(upload) => upload.clock().ended().await,
     }
 }
 
+/// When the request's time ends, as far as it is known now.
+fn end_of_time(call: &Call, give_up: Instant) -> Instant {
+    call.upload.as_ref().and_then(|upload| upload.clock().due()).unwrap_or(give_up)
+}
+
 /// Whether an attempt that has begun ends here. One whose body is not through is whole for no backend, and without
 /// its client it never will be: a backend that reads no further would hold it for ever.
 fn is_withdrawn(call: &Call, standing: Standing) -> bool {
--- a/src/proxy/bodies/client.rs
+++ b/src/proxy/bodies/client.rs
@@ -1,6 +1,7 @@
 //! A client's request body: how long it may be waited for, and how much of it is held.
 
 use super::PASSED_CAP;
+use super::clock::RequestClock;
 use super::held::{HeldBody, HeldMemory, OutOfMemory};
 use crate::proxy::BODY_CAP;
 use bytes::Bytes;
@@ -8,6 +9,7 @@
 use hyper::body::{Body, Incoming};
 use std::future::Future;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use thiserror::Error;
@@ -59,15 +61,16 @@
     left: Duration,
     waiting_since: Option<Instant>,
     sleep: Pin<Box<Sleep>>,
+    pub(super) clock: Rc<RequestClock>,
     pub(super) received: u64,
 }
 
 impl Paced {
-    /// A body whose first bytes may take this long.
+    /// A body whose first bytes may take this long. What it is waited for counts on `clock`.
     #[must_use]
-    pub fn new(body: Incoming, left: Duration) -> Self {
+    pub fn new(body: Incoming, left: Duration, clock: Rc<RequestClock>) -> Self {
         let sleep = Box::pin(sleep_until(Instant::now() + left));
-        Self { body, left, waiting_since: None, sleep, received: 0 }
+        Self { body, left, waiting_since: None, sleep, clock, received: 0 }
     }
 
     /// Its length, where the head tells it.
@@ -79,6 +82,7 @@
     pub(super) fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Fault>>> {
         loop {
             let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) else {
+                self.clock.wants_more();
                 let since = *self.waiting_since.get_or_insert_with(Instant::now);
                 let until = since + self.left;
                 if self.sleep.deadline() != until {
@@ -86,6 +90,7 @@
                 }
                 return self.sleep.as_mut().poll(cx).map(|()| Some(Err(Fault::Late)));
             };
+            self.clock.has_more();
             if let Some(since) = self.waiting_since.take() {
                 self.left = self.left.saturating_sub(since.elapsed());
             }
--- a/src/proxy/bodies/mod.rs
+++ b/src/proxy/bodies/mod.rs
@@ -7,6 +7,7 @@
 
 mod answer;
 mod client;
+mod clock;
 mod download;
 mod held;
 mod transfers;
@@ -14,6 +15,7 @@
 
 pub use answer::{Begun, begin};
 pub use client::{Fault, Paced, Read, ReadError};
+pub use clock::RequestClock;
 pub use download::{Answered, Download};
 pub use held::HeldMemory;
 pub use transfers::{Permit, Transfers};
--- a/src/proxy/bodies/upload.rs
+++ b/src/proxy/bodies/upload.rs
@@ -1,6 +1,7 @@
 //! A request's body on its way to a backend.
 
 use super::client::{Fault, Paced};
+use super::clock::RequestClock;
 use super::transfers::Permit;
 use crate::api::RequestId;
 use crate::proxy::driver::{Handle, Message};
@@ -13,19 +14,17 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use tokio::sync::Notify;
-use tokio::time::Instant;
 
 /// A request's body that passes through to a backend. It can be sent once.
 pub struct Upload {
     request: RequestId,
     handle: Handle,
     length: Option<u64>,
+    clock: Rc<RequestClock>,
     source: RefCell<Option<(Bytes, Paced)>>,
-    /// When its last byte went out, and how many there were.
-    ended: Cell<Option<(Instant, u64)>>,
+    /// How many bytes went out, once all have.
+    sent: Cell<Option<u64>>,
     fault: Cell<Option<Fault>>,
-    on_end: Notify,
     _permit: Permit,
 }
 
@@ -43,10 +42,10 @@
             request,
             handle,
             length: rest.length(),
+            clock: Rc::clone(&rest.clock),
             source: RefCell::new(Some((begun, rest))),
-            ended: Cell::new(None),
+            sent: Cell::new(None),
             fault: Cell::new(None),
-            on_end: Notify::new(),
             _permit: permit,
         })
     }
@@ -72,26 +71,20 @@
     /// How many bytes it had, once all have gone out.
     #[must_use]
     pub fn sent(&self) -> Option<u64> {
-        self.ended.get().map(|(_, bytes)| bytes)
+        self.sent.get()
     }
 
     fn finish(&self, bytes: u64) {
-        if self.ended.get().is_none() {
-            self.ended.set(Some((Instant::now(), bytes)));
-            self.on_end.notify_waiters();
+        if self.sent.get().is_none() {
+            self.sent.set(Some(bytes));
             self.handle.tell(Message::Uploaded(self.request));
         }
     }
 
-    /// Waits until its last byte has gone out.
-    pub async fn end(&self) -> Instant {
-        loop {
-            let notified = self.on_end.notified();
-            if let Some((at, _)) = self.ended.get() {
-                return at;
-            }
-            notified.await;
-        }
+    /// The clock of its request.
+    #[must_use]
+    pub fn clock(&self) -> &RequestClock {
+        &self.clock
     }
 }
 
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -1,7 +1,7 @@
 //! The clients' side: the listener, requests in, answers out.
 
 use super::backends::Call;
-use super::bodies::{Answered, HeldMemory, Paced, Permit, Read, ReadError, Transfers, Upload};
+use super::bodies::{Answered, HeldMemory, Paced, Permit, Read, ReadError, RequestClock, Transfers, Upload};
 use super::clock::Clock;
 use super::config::{Config, Names};
 use super::drain::{Drain, Phase};
@@ -405,7 +405,7 @@
         } else if !has_room {
             self.refused(RefusalReason::RequestsInWork).response(correlation_id(request.headers()))
         } else {
-            match self.inbound(request, body_within).await {
+            match self.inbound(request, body_within, pace).await {
                 Ok(inbound) => self.ask(inbound, pace).await,
                 Err(response) => response,
             }
@@ -502,12 +502,16 @@
         &self,
         request: Request<Incoming>,
         body_within: Duration,
+        pace: &Pace,
     ) -> Result<Inbound, Response<Answered>> {
         let (head, body) = request.into_parts();
         let table = Rc::clone(&self.table.borrow());
         let checked = table.request(self.handle.number(), &head);
         let taken = match checked {
-            Ok(request) => self.take_body(request, body, body_within).await,
+            Ok(request) => {
+                let body = Paced::new(body, body_within, RequestClock::new(pace.wire()));
+                self.take_body(request, body).await
+            }
             Err(rejected) => Err(rejected),
         };
         let (request, body, upload) =
@@ -522,12 +526,11 @@
     async fn take_body(
         &self,
         mut request: crate::api::Request,
-        body: Incoming,
-        body_within: Duration,
+        body: Paced,
     ) -> Result<(crate::api::Request, Bytes, Option<Rc<Upload>>), Rejected> {
         let read = tokio::select! {
             biased;
-            read = Paced::new(body, body_within).read(self.held_memory.clone()) => read,
+            read = body.read(self.held_memory.clone()) => read,
             () = self.ending() => return Err(self.refused(RefusalReason::Ending)),
         };
         let read = read.map_err(|error| match error {
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -17,6 +17,7 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep_until;
 
@@ -335,6 +336,9 @@
         request.patience = left.saturating_sub(ANSWER_MARGIN.min(left / 2));
         let last = now + left.saturating_sub(LAST_MARGIN.min(left / 4));
         let patience = request.patience;
+        if let Some(upload) = &call.upload {
+            upload.clock().set_patience(Duration::from_micros(patience));
+        }
         let open =
             Open { call: Rc::new(call), patience, client: Some(client), attempts: Vec::new(), last: None };
         self.open.insert(request.id, open);
@@ -345,11 +349,13 @@
         self.feed(now, Event::Request(request));
     }
 
-    /// A body has passed through: the time of its request counts from now.
+    /// A body has passed through: from now on its request's time can end here.
     fn on_uploaded(&mut self, now: Micros, request: RequestId) {
         let Some(open) = self.open.get_mut(&request) else { return };
         open.attempts.iter_mut().filter(|a| a.standing.is_some()).for_each(|a| a.sent_at = now);
-        let last = (now + open.patience).min(self.end.saturating_sub(LAST_MARGIN));
+        let due = open.call.upload.as_ref().and_then(|upload| upload.clock().due());
+        let last = due.map_or(now + open.patience, |due| self.clock.at(due));
+        let last = last.min(self.end.saturating_sub(LAST_MARGIN));
         self.timers.push(Reverse((last, Due::LastMoment(request))));
         self.feed(now, Event::Uploaded(request));
     }
--- a/src/proxy/pace.rs
+++ b/src/proxy/pace.rs
@@ -92,6 +92,12 @@
         self.wire.has_ended()
     }
 
+    /// The connection's socket.
+    #[must_use]
+    pub fn wire(&self) -> Rc<Wire> {
+        Rc::clone(&self.wire)
+    }
+
     /// The answer is on its way, and the next request may come.
     pub fn answered(&self) {
         self.at.set(At::Idle(Instant::now(), self.wire.read()));
--- a/tests/proxy/slow_servers.rs
+++ b/tests/proxy/slow_servers.rs
@@ -166,7 +166,8 @@
         if is_chunked {
             stream.write_all(b"0\r\n\r\n").ok()?;
         }
-        Some(thread::sleep(PATIENCE))
+        thread::sleep(PATIENCE);
+        Some(())
     };
     thread::spawn(move || {
         listener.incoming().flatten().for_each(|stream| _ = thread::spawn(move || write(stream)));
