Don't cut off a long answer of unknown length that its server still writes

Cause: an answer that tells no length counted as a small one, whose last byte is timed, until 64 KiB of it had come; 0.3 s after the request's time it was cut. And while the first bytes of such an answer were being held, the attempt's own time-out gave it up though its head had come in time.

Fix: with 8 KiB or more of it there, such an answer goes on for as long as no pause is longer than half a second; and one that is still coming as its request's time ends passes through instead of being given up. A small one that hangs is broken off as before (an_answer_that_never_ends_is_broken_off_when_its_time_is_over).

Class of fault: a rule for small messages applied to messages of unknown size. Left: below 8 KiB at 0.3 s after its time, nothing tells a long answer from a short one that is late.

--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -422,7 +422,7 @@
         }
         let exchanged = tokio::select! {
             biased;
-            exchanged = exchange(&mut conn, request) => exchanged,
+            exchanged = exchange(&mut conn, request, || end_of_time(&call, give_up)) => exchanged,
             Ok(_) = standing.wait_for(|now| is_withdrawn(&call, *now)) => Err(Broken::Cancelled),
             () = time_up(&call, give_up) => Err(Broken::TimedOut),
         };
@@ -508,7 +508,7 @@
         let (headers, body) = (HeaderMap::new(), Bytes::new());
         let call = Call { method: Method::GET, target, headers, body, upload: None };
         let request = request(&call, &server, PROBE_TIMEOUT, Outgoing::Whole(Full::default()));
-        match timeout_at(until, exchange(&mut conn, request)).await {
+        match timeout_at(until, exchange(&mut conn, request, || until)).await {
             Err(_) => Outcome::Timeout.into(),
             Ok(Err(_)) => Outcome::Reset.into(),
             Ok(Ok(Reply { body: Begun::Large(..), .. })) => Outcome::Error.into(),
@@ -587,14 +587,18 @@
 }
 
 /// Writes a request and reads the answer: whole, so that a body that breaks off never becomes an answer, unless it
-/// is too large for that.
-async fn exchange(conn: &mut Conn, request: Request<Outgoing>) -> Result<Reply, Broken> {
+/// is too large for that. `due` tells when the request's time ends.
+async fn exchange(
+    conn: &mut Conn,
+    request: Request<Outgoing>,
+    due: impl Fn() -> Instant,
+) -> Result<Reply, Broken> {
     let broken = |error: hyper::Error| if error.is_parse() { Broken::Malformed } else { Broken::Connection };
     conn.wire.begin_request();
     let response = conn.sender.send_request(request).await.map_err(broken)?;
     let (began, came_at) = (Instant::now(), conn.wire.written_at_read());
     let (head, body) = response.into_parts();
-    let body = begin(body, WHOLE_WITHIN).await.map_err(|_| Broken::Connection)?;
+    let body = begin(body, WHOLE_WITHIN, due()).await.map_err(|_| Broken::Connection)?;
     Ok(Reply { began, came_at, status: head.status, headers: head.headers, body })
 }
 
@@ -660,7 +664,10 @@
                 let _ = far.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await;
                 std::future::pending::<()>().await;
             });
-            exchange(&mut conn, Request::new(Outgoing::Whole(Full::default()))).await
+            {
+                let due = Instant::now() + PROBE_TIMEOUT;
+                exchange(&mut conn, Request::new(Outgoing::Whole(Full::default())), || due).await
+            }
         });
         let reply = exchanged.await.ok().expect("an answer");
         assert_eq!(reply.status, StatusCode::OK);
--- a/src/proxy/bodies/answer.rs
+++ b/src/proxy/bodies/answer.rs
@@ -16,18 +16,23 @@
     Large(Bytes, Incoming),
 }
 
-/// Reads an answer's body up to [`BODY_CAP`]. One of unknown length that takes longer than `patience` passes
-/// through as well, for it may be a large one that comes slowly.
+/// How long before the end of its request's time an answer of unknown length passes through: its head has to be written
+/// and to travel.
+const PASS_MARGIN: Duration = Duration::from_millis(40);
+
+/// Reads an answer's body up to [`BODY_CAP`]. One of unknown length that takes longer than `patience`, or that is still
+/// coming as its request's time ends at `due`, passes through as well, for it may be a large one that comes slowly.
 ///
 /// # Errors
 /// Where the body breaks off.
-pub async fn begin(mut body: Incoming, patience: Duration) -> Result<Begun, hyper::Error> {
+pub async fn begin(mut body: Incoming, patience: Duration, due: Instant) -> Result<Begun, hyper::Error> {
     let length = body.size_hint().exact();
     if length.is_some_and(|length| length > BODY_CAP as u64) {
         return Ok(Begun::Large(Bytes::new(), body));
     }
     let mut held = BodyBuffer::new(BODY_CAP);
-    let until = Instant::now() + patience;
+    let now = Instant::now();
+    let until = (now + patience).min(due.checked_sub(PASS_MARGIN).unwrap_or(due));
     loop {
         let frame = tokio::select! {
             biased;
--- a/src/proxy/bodies/download.rs
+++ b/src/proxy/bodies/download.rs
@@ -20,6 +20,10 @@
 const ANSWER_PAUSE: Duration = Duration::from_secs(3);
 /// How long after its time an answer may become a large one: what has not ended half a second after it is lost.
 const LATE_BY: Duration = Duration::from_millis(300);
+/// An answer of unknown length that has this many bytes may be a large one that its backend writes slowly: it goes on
+/// for as long as no pause is longer than [`GIVING_PAUSE`].
+const MAYBE_LARGE: u64 = 8 * 1024;
+const GIVING_PAUSE: Duration = Duration::from_millis(500);
 
 /// An answer's body that passes through to a client. What it holds on to is given back at its end.
 pub struct Download {
@@ -87,14 +91,24 @@
         }
     }
 
+    /// When an answer of which no more has come since then has broken off.
+    fn due(&self, waits_since: Instant) -> Instant {
+        if self.is_large {
+            return self.until.max(waits_since + ANSWER_PAUSE);
+        }
+        let due = self.until + LATE_BY;
+        let may_be_large = self.left.is_none() && self.received >= MAYBE_LARGE;
+        if may_be_large { due.max(waits_since + GIVING_PAUSE) } else { due }
+    }
+
     fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, io::Error>>> {
         if !self.begun.is_empty() {
             return Poll::Ready(Some(Ok(mem::take(&mut self.begun))));
         }
         loop {
             let Poll::Ready(frame) = Pin::new(&mut self.rest).poll_frame(cx) else {
-                let pause_ends = *self.waits_since.get_or_insert_with(Instant::now) + ANSWER_PAUSE;
-                let due = if self.is_large { self.until.max(pause_ends) } else { self.until + LATE_BY };
+                let waits_since = *self.waits_since.get_or_insert_with(Instant::now);
+                let due = self.due(waits_since);
                 if self.late.deadline() != due {
                     self.late.as_mut().reset(due);
                 }
