Count all memory in use, and let nothing more in while requests take too much of it

Cause: held bodies of requests and large bodies on their way had budgets of their own; heads, their copies for each attempt, held answers, answers that wait for their turn and the buffers of the HTTP library had none, and the budgets did not add up to the limit.

Above 40 percent of the limit new requests are refused unread, bodies of requests and answers are read no further than 4 KiB, unfinished heads over 4 KiB are closed, and a client that takes nothing of its answer for 3 s, not 20, goes. Requests that were let in have their attempts' copies reserved. Two processes share the limit. What lists and settings take does not count against requests beyond a floor of 4 MiB or an eighth of the limit.

Class of fault: budgets for single kinds of data that leave out what libraries hold. Left: kernel buffers are not counted; memory that the C library keeps after a peak is not given back, and the 60 percent above the threshold have to bear it.

--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -4,6 +4,7 @@
 //! module's to say, and it can only say so if it knows whether the last byte went out (`Wire` counts).
 
 use super::bodies::{Answered, Begun, Download, Outgoing, Transfers, Upload, begin};
+use super::memory::MemoryGauge;
 use super::socket::{Counted, Wire, WireIo};
 use crate::api::{BackendId, Micros, Outcome, Readiness};
 use bytes::Bytes;
@@ -420,9 +421,10 @@
         if call.upload.is_some() {
             conn.wire.bound();
         }
+        let memory = self.transfers.memory();
         let exchanged = tokio::select! {
             biased;
-            exchanged = exchange(&mut conn, request, || end_of_time(&call, give_up)) => exchanged,
+            exchanged = exchange(&mut conn, request, || end_of_time(&call, give_up), memory) => exchanged,
             Ok(_) = standing.wait_for(|now| is_withdrawn(&call, *now)) => Err(Broken::Cancelled),
             () = time_up(&call, give_up) => Err(Broken::TimedOut),
         };
@@ -508,7 +510,7 @@
         let (headers, body) = (HeaderMap::new(), Bytes::new());
         let call = Call { method: Method::GET, target, headers, body, upload: None };
         let request = request(&call, &server, PROBE_TIMEOUT, Outgoing::Whole(Full::default()));
-        match timeout_at(until, exchange(&mut conn, request, || until)).await {
+        match timeout_at(until, exchange(&mut conn, request, || until, self.transfers.memory())).await {
             Err(_) => Outcome::Timeout.into(),
             Ok(Err(_)) => Outcome::Reset.into(),
             Ok(Ok(Reply { body: Begun::Large(..), .. })) => Outcome::Error.into(),
@@ -592,13 +594,14 @@
     conn: &mut Conn,
     request: Request<Outgoing>,
     due: impl Fn() -> Instant,
+    memory: &MemoryGauge,
 ) -> Result<Reply, Broken> {
     let broken = |error: hyper::Error| if error.is_parse() { Broken::Malformed } else { Broken::Connection };
     conn.wire.begin_request();
     let response = conn.sender.send_request(request).await.map_err(broken)?;
     let (began, came_at) = (Instant::now(), conn.wire.written_at_read());
     let (head, body) = response.into_parts();
-    let body = begin(body, WHOLE_WITHIN, due()).await.map_err(|_| Broken::Connection)?;
+    let body = begin(body, WHOLE_WITHIN, due(), memory).await.map_err(|_| Broken::Connection)?;
     Ok(Reply { began, came_at, status: head.status, headers: head.headers, body })
 }
 
@@ -666,7 +669,8 @@
             });
             {
                 let due = Instant::now() + PROBE_TIMEOUT;
-                exchange(&mut conn, Request::new(Outgoing::Whole(Full::default())), || due).await
+                let memory = MemoryGauge::within(usize::MAX / 100);
+                exchange(&mut conn, Request::new(Outgoing::Whole(Full::default())), || due, &memory).await
             }
         });
         let reply = exchanged.await.ok().expect("an answer");
--- a/src/proxy/bodies/answer.rs
+++ b/src/proxy/bodies/answer.rs
@@ -1,12 +1,14 @@
 //! The beginning of a backend's answer: held whole, or found too large for that.
 
+use super::SMALL_BODY;
 use crate::body_buffer::BodyBuffer;
 use crate::proxy::BODY_CAP;
+use crate::proxy::memory::MemoryGauge;
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use std::time::Duration;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// What has come of a backend's answer when it is passed on.
 pub enum Begun {
@@ -20,12 +22,32 @@
 /// and to travel.
 const PASS_MARGIN: Duration = Duration::from_millis(40);
 
+/// How often it is looked whether memory is free again.
+const MEMORY_CHECK: Duration = Duration::from_millis(10);
+
+async fn next_frame(
+    body: &mut Incoming,
+    held: usize,
+    memory: &MemoryGauge,
+) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+    while held > SMALL_BODY && memory.is_short() {
+        sleep(MEMORY_CHECK).await;
+    }
+    body.frame().await
+}
+
 /// Reads an answer's body up to [`BODY_CAP`]. One of unknown length that takes longer than `patience`, or that is still
 /// coming as its request's time ends at `due`, passes through as well, for it may be a large one that comes slowly.
+/// While memory is short no more of it is read than a small body has.
 ///
 /// # Errors
 /// Where the body breaks off.
-pub async fn begin(mut body: Incoming, patience: Duration, due: Instant) -> Result<Begun, hyper::Error> {
+pub async fn begin(
+    mut body: Incoming,
+    patience: Duration,
+    due: Instant,
+    memory: &MemoryGauge,
+) -> Result<Begun, hyper::Error> {
     let length = body.size_hint().exact();
     if length.is_some_and(|length| length > BODY_CAP as u64) {
         return Ok(Begun::Large(Bytes::new(), body));
@@ -36,7 +58,7 @@
     loop {
         let frame = tokio::select! {
             biased;
-            frame = body.frame() => frame,
+            frame = next_frame(&mut body, held.len(), memory) => frame,
             () = sleep_until(until), if length.is_none() && !held.is_empty() => {
                 return Ok(Begun::Large(held.into(), body));
             }
--- a/src/proxy/bodies/client.rs
+++ b/src/proxy/bodies/client.rs
@@ -1,9 +1,11 @@
 //! A client's request body: how long it may be waited for, and how much of it is held.
 
 use super::PASSED_CAP;
+use super::SMALL_BODY;
 use super::clock::RequestClock;
 use super::held::{HeldBody, HeldMemory, OutOfMemory};
 use crate::proxy::BODY_CAP;
+use crate::proxy::memory::MemoryGauge;
 use bytes::Bytes;
 use hyper::StatusCode;
 use hyper::body::{Body, Incoming};
@@ -118,7 +120,7 @@
     ///
     /// # Errors
     /// Where it does not come as it should, or there is no memory for it.
-    pub async fn read(mut self, memory: HeldMemory) -> Result<Read, ReadError> {
+    pub async fn read(mut self, memory: HeldMemory, gauge: &MemoryGauge) -> Result<Read, ReadError> {
         if self.length().is_some_and(|length| length > PASSED_CAP) {
             return Err(ReadError::Fault(Fault::TooLarge));
         }
@@ -127,7 +129,11 @@
         }
         let mut held = HeldBody::new(memory);
         while let Some(data) = std::future::poll_fn(|cx| self.poll_data(cx)).await {
-            held.push(&data.map_err(ReadError::Fault)?)?;
+            let data = data.map_err(ReadError::Fault)?;
+            if held.len() + data.len() > SMALL_BODY && gauge.is_short() {
+                return Err(OutOfMemory.into());
+            }
+            held.push(&data)?;
             if held.len() > BODY_CAP {
                 return Ok(Read::Large(held.into_bytes(), self));
             }
--- a/src/proxy/bodies/mod.rs
+++ b/src/proxy/bodies/mod.rs
@@ -21,5 +21,8 @@
 pub use transfers::{Permit, Transfers};
 pub use upload::{Outgoing, Upload};
 
+/// A body up to this size is read however little memory is left, in bytes.
+const SMALL_BODY: usize = 4 * 1024;
+
 /// The largest body that is passed on. The platform's largest are 32 MB, and 60 MB are too much.
 pub const PASSED_CAP: u64 = 40 << 20;
--- a/src/proxy/bodies/transfers.rs
+++ b/src/proxy/bodies/transfers.rs
@@ -1,5 +1,7 @@
 //! How many bodies may be passed through at a time.
 
+use crate::proxy::memory::MemoryGauge;
+use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, timeout_at};
@@ -19,6 +21,7 @@
 pub struct Transfers {
     up: Arc<Semaphore>,
     down: Arc<Semaphore>,
+    memory: Rc<MemoryGauge>,
 }
 
 impl Transfers {
@@ -26,7 +29,13 @@
     #[must_use]
     pub fn within(memory: usize) -> Self {
         let each = || Arc::new(Semaphore::new((memory / MEMORY_PART / TRANSFER / 2).max(LEAST_TRANSFERS)));
-        Self { up: each(), down: each() }
+        Self { up: each(), down: each(), memory: MemoryGauge::within(memory) }
+    }
+
+    /// The memory that they take with all else.
+    #[must_use]
+    pub fn memory(&self) -> &Rc<MemoryGauge> {
+        &self.memory
     }
 
     /// Waits until one more request's body may begin; `None` where none may by then.
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -8,7 +8,7 @@
 use super::driver::{Answer, Handle, Inbound, Message};
 use super::event_log::{self, CloseReason, Event, RefusalReason};
 use super::pace::{Asking, Pace};
-use super::request_head::{Table, correlation_id, forwarded, origin_form};
+use super::request_head::{Table, correlation_id, forwarded, head_memory, origin_form};
 use super::responses::{Rejected, close, plain, refusal};
 use super::socket::{Counted, Wire, WireIo};
 use super::{Seldom, Spare};
@@ -52,6 +52,8 @@
 /// Requests in work leave this many connections at the least to others, so that `/up` is answered, and whoever else
 /// comes told to go elsewhere, also while every request hangs.
 const DOOR: usize = 4;
+/// How often it is looked whether a client that takes nothing of its answer has to go.
+const BLOCKED_CHECK: Duration = Duration::from_millis(500);
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// The largest head of a request.
 const HEAD_CAP: usize = 32 * 1024;
@@ -216,6 +218,11 @@
         self.open.get()
     }
 
+    /// So many processes share the memory from now on.
+    pub fn share_memory(&self, processes: usize) {
+        self.transfers.memory().share(processes);
+    }
+
     /// From now on this many connections may be open at a time; idle ones beyond that are closed.
     pub fn limit(&self, most: usize) {
         self.most.set(most);
@@ -284,6 +291,9 @@
             match accepted {
                 Ok((stream, peer)) => {
                     self.accepted_at.set(Instant::now());
+                    if self.open.get() == 0 {
+                        self.transfers.memory().settle();
+                    }
                     self.open.set(self.open.get() + 1);
                     tokio::task::spawn_local(Rc::clone(&self).connection(stream, peer));
                 }
@@ -331,6 +341,7 @@
             .serve_connection(TokioIo::new(WireIo(Rc::clone(&wire))), service);
         let mut left = pin!(wire.ended());
         let mut late = pin!(sleep(Duration::ZERO));
+        let memory = Rc::clone(self.transfers.memory());
         let mut phase = self.phase.clone();
         // A connection that comes while the others are being closed still gets its answer; that closes it.
         phase.mark_unchanged();
@@ -349,11 +360,18 @@
                     }
                     // What it is at may have changed; a late one is not waited for.
                     let now_in = *self.phase.borrow();
-                    let Some(deadline) = pace.deadline(now_in) else { return Poll::Pending };
-                    if late.deadline() != deadline {
-                        late.as_mut().reset(deadline);
+                    let is_short = memory.is_short();
+                    let Some(deadline) = pace.deadline(now_in, is_short) else { return Poll::Pending };
+                    if is_short && pace.has_large_head() {
+                        return Poll::Ready(Some(CloseReason::Memory));
                     }
-                    let is_late = late.as_mut().poll(cx).is_ready();
+                    // A client that takes nothing may have to go sooner if memory becomes short meanwhile.
+                    let soon = Instant::now() + BLOCKED_CHECK;
+                    let check = if pace.is_blocked() { deadline.min(soon) } else { deadline };
+                    if late.deadline() != check {
+                        late.as_mut().reset(check);
+                    }
+                    let is_late = late.as_mut().poll(cx).is_ready() && check == deadline;
                     // Close to the end, bytes that are there already may be a whole request: they are read first.
                     let is_read_first = now_in == Phase::Ending && pace.has_unread();
                     if is_late && !is_read_first {
@@ -398,10 +416,16 @@
         let body_within = pace.request();
         let is_up = request.uri().path() == "/up";
         let most = self.most.get();
+        let memory = self.transfers.memory();
+        let is_short = !is_up && memory.is_short();
+        let _reserved = memory.reserve(head_memory(request.headers()));
         let has_room = !is_up && self.in_work.get() < most - DOOR.max(most / SHED_PART).min(most / 4);
         let in_work = has_room.then(|| Counted::new(&self.in_work));
         let mut response = if is_up {
             self.up()
+        } else if is_short {
+            let id = correlation_id(request.headers());
+            self.refused_unread(RefusalReason::Memory).response(id)
         } else if !has_room {
             self.refused(RefusalReason::RequestsInWork).response(correlation_id(request.headers()))
         } else {
@@ -470,6 +494,9 @@
     /// # Errors
     /// Where it may not, the request is refused; nothing of it was sent on.
     async fn may_pass_on(&self, request: &mut crate::api::Request) -> Result<Permit, Rejected> {
+        if self.transfers.memory().is_short() {
+            return Err(self.refused_unread(RefusalReason::Memory));
+        }
         let began = self.clock.now();
         let until = self.clock.instant(began + request.patience / HOLD_PART);
         let permit = tokio::select! {
@@ -530,7 +557,7 @@
     ) -> Result<(crate::api::Request, Bytes, Option<Rc<Upload>>), Rejected> {
         let read = tokio::select! {
             biased;
-            read = body.read(self.held_memory.clone()) => read,
+            read = body.read(self.held_memory.clone(), self.transfers.memory()) => read,
             () = self.ending() => return Err(self.refused(RefusalReason::Ending)),
         };
         let read = read.map_err(|error| match error {
--- a/src/proxy/event_log.rs
+++ b/src/proxy/event_log.rs
@@ -32,6 +32,8 @@
     BodyMemory,
     /// As many large bodies are on their way as there may be.
     LargeBodies,
+    /// Requests take as much memory as they may.
+    Memory,
 }
 
 impl RefusalReason {
@@ -42,6 +44,7 @@
             Self::Ending => "ending",
             Self::BodyMemory => "body_memory",
             Self::LargeBodies => "large_bodies",
+            Self::Memory => "memory",
         }
     }
 }
@@ -63,6 +66,8 @@
     Broken,
     /// The process is ending.
     Ending,
+    /// Requests take as much memory as they may, and its next one is large already.
+    Memory,
 }
 
 impl CloseReason {
@@ -73,6 +78,7 @@
             Self::AnswerNotTaken => "answer_not_taken",
             Self::MakesRoom => "makes_room",
             Self::ClientLeft => "client_left",
+            Self::Memory => "memory",
             Self::Broken => "broken",
             Self::Ending => "ending",
         }
--- a/src/proxy/handover/siblings.rs
+++ b/src/proxy/handover/siblings.rs
@@ -211,6 +211,7 @@
         let processes = 1 + others.len();
         let own =
             if others.is_empty() { self.most } else { self.told.get().part_of(self.most, held, processes) };
+        self.clients.share_memory(processes);
         self.clients.limit(own.clients);
         self.fleet.limit(own.backends);
         self.source.handle.tell(Message::Company(u32::try_from(processes).unwrap_or(u32::MAX)));
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -12,6 +12,7 @@
 pub mod driver;
 pub mod event_log;
 pub mod handover;
+pub mod memory;
 pub mod pace;
 pub mod program;
 mod reload;
--- a/src/proxy/pace.rs
+++ b/src/proxy/pace.rs
@@ -20,15 +20,18 @@
 const BODY: Duration = Duration::from_millis(2_500);
 /// The least time for a body after a head that came late.
 const BODY_LEAST: Duration = Duration::from_millis(300);
-/// How long a client may take nothing of its answer.
+/// How long a client may take nothing of its answer, and how long while memory is short.
 const STALLED: Duration = Duration::from_secs(20);
+const STALLED_HURRIED: Duration = Duration::from_secs(3);
+/// A head that has come in part and is larger than this takes more memory than most, in bytes.
+const LARGE_HEAD: u64 = 4 * 1024;
 
 #[derive(Clone, Copy)]
 enum At {
     /// Between requests, since then; what had been read by then.
     Idle(Instant, u64),
-    /// A head is coming.
-    Head(Instant),
+    /// A head is coming, since then; what had been read before it.
+    Head(Instant, u64),
     /// A request is in this proxy's hands.
     Request,
 }
@@ -144,10 +147,22 @@
         match self.at.get() {
             At::Request => true,
             At::Idle(..) => !self.first.get() && self.wire.is_quiet(),
-            At::Head(_) => false,
+            At::Head(..) => false,
         }
     }
 
+    /// Whether a head is coming that is large already.
+    #[must_use]
+    pub fn has_large_head(&self) -> bool {
+        matches!(self.at.get(), At::Head(_, before) if self.wire.read() - before > LARGE_HEAD)
+    }
+
+    /// Whether the client takes nothing of its answer just now.
+    #[must_use]
+    pub fn is_blocked(&self) -> bool {
+        self.wire.blocked_since().is_some()
+    }
+
     /// Why a connection that has taken too long ends, `phase` being that of the proxy.
     #[must_use]
     pub fn late_reason(&self, phase: Phase) -> CloseReason {
@@ -156,28 +171,28 @@
         }
         match self.at.get() {
             _ if phase == Phase::Ending => CloseReason::Ending,
-            At::Head(_) => CloseReason::HeadLate,
+            At::Head(..) => CloseReason::HeadLate,
             At::Idle(..) | At::Request => CloseReason::Idle,
         }
     }
 
     /// When the connection has taken too long for what it is at, `phase` being that of the proxy.
     #[must_use]
-    pub fn deadline(&self, phase: Phase) -> Option<Instant> {
+    pub fn deadline(&self, phase: Phase, is_memory_short: bool) -> Option<Instant> {
         if let At::Idle(_, read) = self.at.get()
             && self.wire.read() > read
         {
-            self.at.set(At::Head(Instant::now()));
+            self.at.set(At::Head(Instant::now(), read));
         }
         if let Some(since) = self.wire.blocked_since() {
-            return Some(since + STALLED);
+            return Some(since + if is_memory_short { STALLED_HURRIED } else { STALLED });
         }
         match self.at.get() {
             At::Request => None,
-            At::Idle(since, _) | At::Head(since) if phase == Phase::Ending => Some(since),
+            At::Idle(since, _) | At::Head(since, _) if phase == Phase::Ending => Some(since),
             At::Idle(since, _) => Some(since + if phase == Phase::Closing { IDLE_AWAY } else { IDLE }),
-            At::Head(_) if self.first.get() => Some(self.connected + FIRST),
-            At::Head(since) => Some(since + HEAD),
+            At::Head(..) if self.first.get() => Some(self.connected + FIRST),
+            At::Head(since, _) => Some(since + HEAD),
         }
     }
 }
--- a/src/proxy/request_head.rs
+++ b/src/proxy/request_head.rs
@@ -46,6 +46,15 @@
     pub(super) retry_after: Micros,
 }
 
+/// What an attempt takes beside the head itself, in bytes: the read buffer of its connection.
+const ATTEMPT_MEMORY: usize = 8 * 1024;
+
+/// The memory that a request takes from its head to its answer, in bytes: an attempt copies its headers twice.
+pub(super) fn head_memory(headers: &HeaderMap) -> usize {
+    let fields = headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+    ATTEMPT_MEMORY + 2 * fields.sum::<usize>()
+}
+
 /// The id of a request, where its head has one.
 pub(super) fn correlation_id(headers: &HeaderMap) -> Option<&str> {
     headers.get(CORRELATION_ID).and_then(|id| id.to_str().ok())
