Drop the timers of requests that are over instead of keeping them until they are due

Cause: the driver sets a timer for the last moment of each request and kept it until that moment, however early the request had its answer. With a long time left, requests that are refused at once add up at the rate of the flood.

Fix: once there are more timers than twice those that were left last time and 1,024, those of requests that are over are dropped; the cost for each request stays the same. Class of fault: state that lives as long as a deadline, not as long as its request. Related: the module's own timers live for a tenth of the time left and only for held requests; not changed.

--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -180,6 +180,9 @@
     Probed { backend: BackendId, ended: Ended },
 }
 
+/// Of the timers so many may belong to requests that are over before those are dropped.
+const STALE_TIMERS: usize = 1_024;
+
 /// Owns the balancer.
 pub struct Driver {
     balancer: Balancer,
@@ -193,6 +196,8 @@
     report_by_probe: bool,
     open: FxHashMap<RequestId, Open>,
     timers: BinaryHeap<Reverse<(Micros, Due)>>,
+    /// Twice the number of timers that were left when stale ones were last dropped.
+    timers_after_drop: usize,
     pending: VecDeque<Pending>,
     actions: Vec<Action>,
     /// When the last answers are due; as late as can be while the process is to go on.
@@ -230,6 +235,7 @@
             report_by_probe: limits.report_by_probe,
             open: FxHashMap::default(),
             timers: BinaryHeap::new(),
+            timers_after_drop: 0,
             pending: VecDeque::new(),
             actions: Vec::new(),
             end: Micros::MAX,
@@ -428,7 +434,21 @@
     fn forget(&mut self, request: RequestId) {
         if self.open.get(&request).is_some_and(Open::is_over) {
             self.open.remove(&request);
+            self.drop_stale_timers();
+        }
+    }
+
+    /// A request may be over long before its time ends: the timers of those that are must not add up.
+    fn drop_stale_timers(&mut self) {
+        if self.timers.len() < self.timers_after_drop + STALE_TIMERS {
+            return;
         }
+        let open = &self.open;
+        self.timers.retain(|Reverse((_, due))| match due {
+            Due::Module(_) => true,
+            Due::LastMoment(request) => open.contains_key(request),
+        });
+        self.timers_after_drop = 2 * self.timers.len();
     }
 
     fn act(&mut self, now: Micros) {
