Run no request twice whose id comes again, here or at the other process of an upgrade

Cause: the proxy numbered requests by itself and forgot the client's id with the request, so that the second one was another request to it; two processes told one another only how many descriptors they hold.

Evidence: an unsafe request whose client left was served again with 200, at the same process and at the successor.

Fix: src/recent_requests.rs decides which ids may be taken: not while a request with it is open, nor for 60 s after an attempt may have run, unless the class is safe or its repeat is dropped by the backends (keyed, group all, inside its window). Such a request is answered 502. A request that never ran frees its id. Two linked processes tell one another the ids that they take and free.

Class of fault: identity that is lost at a boundary. Left: ids that are evicted by newer ones or older than 60 s; news that crosses a request on its way to the other process within the time of one write.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod group;
 pub mod names;
 pub mod proxy;
+pub mod recent_requests;
 pub mod registry;
 pub mod rig;
 mod state;
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -535,18 +535,18 @@
         let table = Rc::clone(&self.table.borrow());
         let checked = table.request(self.handle.number(), &head);
         let taken = match checked {
-            Ok(request) => {
+            Ok((request, effect)) => {
                 let body = Paced::new(body, body_within, RequestClock::new(pace.wire()));
-                self.take_body(request, body).await
+                self.take_body(request, body).await.map(|taken| (taken, effect))
             }
             Err(rejected) => Err(rejected),
         };
-        let (request, body, upload) =
+        let ((request, body, upload), effect) =
             taken.map_err(|rejected| rejected.response(correlation_id(&head.headers)))?;
         let (method, target, headers) = (head.method, origin_form(head.uri), forwarded(head.headers));
         let call = Call { method, target, headers, body, upload };
         // The time of a request counts from its last byte.
-        Ok(Inbound { request, arrived: self.clock.now(), call })
+        Ok(Inbound { request, effect, arrived: self.clock.now(), call })
     }
 
     /// The request with its body: held whole, or the beginning of one that passes through.
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -8,16 +8,18 @@
 use super::log;
 use super::request_head::correlation_id;
 use crate::api::{
-    Action, Backend, BackendId, ClassNumber, Event, Learnt, Membership, Micros, Outcome, Request, RequestId,
-    Settings, Settled,
+    Action, Backend, BackendId, ClassNumber, Effect, Event, Learnt, Membership, Micros, Outcome, Request,
+    RequestId, Settings, Settled,
 };
 use crate::balancer::Balancer;
+use crate::recent_requests::{IdHash, IdNews, RecentRequests};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep_until;
 
@@ -46,6 +48,8 @@
 pub struct Inbound {
     /// What the module is told of it. Its patience still counts in full.
     pub request: Request,
+    /// Whether it may be repeated.
+    pub effect: Effect,
     /// When it came.
     pub arrived: Micros,
     /// What goes to a backend.
@@ -88,6 +92,10 @@
     Settings(Box<Settings>, oneshot::Sender<Vec<ClassNumber>>),
     /// What was learnt is asked for, for another process.
     Learnt(oneshot::Sender<Learnt>),
+    /// Another process serves in this proxy's place: it is told of the ids of requests from now on.
+    Sibling(mpsc::Sender<IdNews>),
+    /// It tells of the id of a request.
+    IdNews(IdNews),
     /// How many processes serve in this proxy's place, this one among them.
     Company(u32),
     /// The process is ending: whatever comes from now on has to be answered by then.
@@ -147,6 +155,9 @@
     attempts: Vec<Attempt>,
     /// How the last attempt that ended did.
     last: Option<Outcome>,
+    /// Its id, where it can't simply be repeated.
+    guarded: Option<IdHash>,
+    may_have_run: bool,
 }
 
 impl Open {
@@ -183,6 +194,9 @@
 /// Of the timers so many may belong to requests that are over before those are dropped.
 const STALE_TIMERS: usize = 1_024;
 
+/// A request with this id may have run already.
+struct RepeatedRequest;
+
 /// Owns the balancer.
 pub struct Driver {
     balancer: Balancer,
@@ -202,6 +216,9 @@
     actions: Vec<Action>,
     /// When the last answers are due; as late as can be while the process is to go on.
     end: Micros,
+    recent: RecentRequests,
+    /// The other processes of this proxy.
+    siblings: Vec<mpsc::Sender<IdNews>>,
 }
 
 /// The limits that the driver itself keeps.
@@ -211,6 +228,8 @@
     pub max_attempts: u16,
     /// Whether load reports come with probes alone.
     pub report_by_probe: bool,
+    /// The memory of the process, in bytes.
+    pub memory: usize,
 }
 
 impl Driver {
@@ -239,6 +258,8 @@
             pending: VecDeque::new(),
             actions: Vec::new(),
             end: Micros::MAX,
+            recent: RecentRequests::within(limits.memory),
+            siblings: Vec::new(),
         };
         (driver, handle)
     }
@@ -323,6 +344,12 @@
             }
             Message::Learnt(asked) => _ = asked.send(self.balancer.learnt()),
             Message::End(end) => self.end = end,
+            Message::Sibling(sibling) => {
+                let known = self.recent.known().map(IdNews::Taken);
+                known.for_each(|news| _ = sibling.try_send(news));
+                self.siblings.push(sibling);
+            }
+            Message::IdNews(news) => self.recent.hear(now, news),
             Message::Company(processes) => self.feed(now, Event::Company { processes }),
             Message::Maintenance(backend, out, done) => {
                 self.fleet.ban(backend, out);
@@ -335,7 +362,14 @@
     }
 
     fn on_request(&mut self, now: Micros, inbound: Inbound, client: oneshot::Sender<Answer>) {
-        let Inbound { mut request, arrived, call } = inbound;
+        let Inbound { mut request, effect, arrived, call } = inbound;
+        let guarded = match self.guard(now, &call, &effect) {
+            Ok(guarded) => guarded,
+            Err(RepeatedRequest) => {
+                let _ = client.send(Answer::Failed);
+                return;
+            }
+        };
         let end = arrived.saturating_add(request.patience).min(self.end);
         let left = end.saturating_sub(now);
         // A client with hardly any time at all is not robbed of what it has.
@@ -345,8 +379,15 @@
         if let Some(upload) = &call.upload {
             upload.clock().set_patience(Duration::from_micros(patience));
         }
-        let open =
-            Open { call: Rc::new(call), patience, client: Some(client), attempts: Vec::new(), last: None };
+        let open = Open {
+            call: Rc::new(call),
+            patience,
+            client: Some(client),
+            attempts: Vec::new(),
+            last: None,
+            guarded,
+            may_have_run: false,
+        };
         self.open.insert(request.id, open);
         // While its body is coming, its time has not begun.
         if !request.upload {
@@ -355,6 +396,30 @@
         self.feed(now, Event::Request(request));
     }
 
+    /// The id of a request that can't simply be repeated, which it is taken under.
+    fn guard(
+        &mut self,
+        now: Micros,
+        call: &Call,
+        effect: &Effect,
+    ) -> Result<Option<IdHash>, RepeatedRequest> {
+        let Some(text) = correlation_id(&call.headers).filter(|_| *effect != Effect::Safe) else {
+            return Ok(None);
+        };
+        let id = IdHash::of(text);
+        if !self.recent.take(now, id, effect) {
+            event_log::record(&event_log::Event::Repeated { id: text });
+            return Err(RepeatedRequest);
+        }
+        self.tell_siblings(IdNews::Taken(id));
+        Ok(Some(id))
+    }
+
+    fn tell_siblings(&mut self, news: IdNews) {
+        // One that does not keep up misses news rather than take memory here.
+        self.siblings.retain(|sibling| !matches!(sibling.try_send(news), Err(TrySendError::Closed(_))));
+    }
+
     /// A body has passed through: from now on its request's time can end here.
     fn on_uploaded(&mut self, now: Micros, request: RequestId) {
         let Some(open) = self.open.get_mut(&request) else { return };
@@ -413,6 +478,7 @@
             return;
         }
         open.last = Some(ended.outcome);
+        open.may_have_run |= !ended.outcome.never_ran();
         let answered = ended.first_byte.map_or(now, |at| self.clock.at(at));
         let (backend, elapsed) = (attempt.backend, answered.saturating_sub(attempt.sent_at));
         // The first answer of a backend reaches the client without being asked for, as on the simulator.
@@ -432,9 +498,16 @@
 
     /// Removes a request for which nothing more can come.
     fn forget(&mut self, request: RequestId) {
-        if self.open.get(&request).is_some_and(Open::is_over) {
-            self.open.remove(&request);
-            self.drop_stale_timers();
+        if !self.open.get(&request).is_some_and(Open::is_over) {
+            return;
+        }
+        let ended = self.open.remove(&request);
+        self.drop_stale_timers();
+        if let Some((open, id)) = ended.and_then(|open| open.guarded.map(|id| (open, id))) {
+            self.recent.end(self.clock.now(), id, open.may_have_run);
+            if !open.may_have_run {
+                self.tell_siblings(IdNews::Freed(id));
+            }
         }
     }
 
--- a/src/proxy/event_log.rs
+++ b/src/proxy/event_log.rs
@@ -113,6 +113,11 @@
         /// How the last attempt that ended did.
         last: Option<Outcome>,
     },
+    /// A request came again that may have run, and must not twice.
+    Repeated {
+        /// Its id.
+        id: &'a str,
+    },
     /// The time of a request ended with nothing decided.
     Overdue {
         /// Its id.
@@ -155,6 +160,7 @@
             Self::Rejected { .. } => "rejected",
             Self::Refused { .. } => "refused",
             Self::Failed { .. } => "failed",
+            Self::Repeated { .. } => "failed",
             Self::Overdue { .. } => "overdue",
             Self::Retried { .. } => "retried",
             Self::ClientLeft { .. } => "client_left",
@@ -170,6 +176,7 @@
             Self::Failed { last, .. } => last.map_or("no_attempt", outcome_name),
             Self::Retried { after, .. } => after.map_or("second_copy", outcome_name),
             Self::Closed { reason, .. } => reason.name(),
+            Self::Repeated { .. } => "repeated_id",
             Self::Overdue { .. } => "time_ended",
             Self::ClientLeft { .. } => "connection_ended",
             Self::Phase(phase) => match phase {
@@ -191,6 +198,7 @@
                 write!(f, " status={status}")
             }
             Self::Refused { id, .. } => write_id(f, id),
+            Self::Repeated { id } => write_id(f, Some(id)),
             Self::Failed { id, attempts, .. }
             | Self::Overdue { id, attempts }
             | Self::ClientLeft { id, attempts } => {
--- a/src/proxy/handover/siblings.rs
+++ b/src/proxy/handover/siblings.rs
@@ -17,10 +17,13 @@
 use std::{fs, io};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, UnixListener, UnixStream};
+use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 /// How often two processes tell one another what they hold.
 const TELL_EVERY: Duration = Duration::from_millis(50);
+/// The ids of requests that may be on their way to the other process.
+const IDS_UNDER_WAY: usize = 65_536;
 /// The pause after a failed accept.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(100);
 /// Descriptors that a process needs beside its clients and backends.
@@ -176,6 +179,8 @@
         self.judge();
         let (read, mut write) = stream.into_split();
         let mut lines = tokio::io::BufReader::new(read).lines();
+        let (sibling, mut ids) = mpsc::channel(IDS_UNDER_WAY);
+        self.source.handle.tell(Message::Sibling(sibling));
         let mut tick = interval(TELL_EVERY);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -185,6 +190,13 @@
                     if let Some(held) = Held::parse(&line) {
                         self.others.borrow_mut().insert(number, held);
                         self.judge();
+                    } else if let Ok(news) = line.parse() {
+                        self.source.handle.tell(Message::IdNews(news));
+                    }
+                }
+                Some(news) = ids.recv() => {
+                    if write.write_all(format!("{news}\n").as_bytes()).await.is_err() {
+                        break;
                     }
                 }
                 _ = tick.tick() => {
--- a/src/proxy/program.rs
+++ b/src/proxy/program.rs
@@ -119,8 +119,11 @@
     log(format_args!("{} listens on {}", config.name, listener.local_addr()?));
     let settings = config.settings.clone();
     let asked = settings.discovery_on_request;
-    let limits =
-        Limits { max_attempts: settings.permissions.max_attempts, report_by_probe: settings.report_by_probe };
+    let limits = Limits {
+        max_attempts: settings.permissions.max_attempts,
+        report_by_probe: settings.report_by_probe,
+        memory: config.memory,
+    };
     let transfers = Transfers::within(config.memory);
     let fleet = Fleet::new(
         config.backend_sockets,
--- a/src/proxy/request_head.rs
+++ b/src/proxy/request_head.rs
@@ -31,7 +31,7 @@
 struct Class {
     number: ClassNumber,
     deadline: Micros,
-    keyed: bool,
+    effect: Effect,
     method: Method,
 }
 
@@ -66,7 +66,7 @@
         let class = |c: &crate::api::Class, number| Class {
             number,
             deadline: c.deadline,
-            keyed: matches!(c.effect, Effect::Keyed { .. }),
+            effect: c.effect,
             method: if c.effect == Effect::Safe { Method::GET } else { Method::POST },
         };
         let classes = settings.classes.iter().zip(numbers).map(|(c, &n)| (c.name.clone(), class(c, n)));
@@ -82,7 +82,7 @@
     ///
     /// # Errors
     /// Says what is missing or wrong.
-    pub(super) fn request(&self, id: RequestId, head: &Parts) -> Result<Request, Rejected> {
+    pub(super) fn request(&self, id: RequestId, head: &Parts) -> Result<(Request, Effect), Rejected> {
         let bad = |why| Rejected::Bad(StatusCode::BAD_REQUEST, why);
         let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
         let in_path = head.uri.path().split('/').nth(1).unwrap_or_default();
@@ -94,7 +94,7 @@
             return Err(Rejected::Bad(StatusCode::METHOD_NOT_ALLOWED, "not the method of this class\n"));
         }
         // Without its key a repeat would not be dropped.
-        if class.keyed && text(IDEMPOTENCY_KEY).is_none_or(str::is_empty) {
+        if matches!(class.effect, Effect::Keyed { .. }) && text(IDEMPOTENCY_KEY).is_none_or(str::is_empty) {
             return Err(bad("Idempotency-Key is missing\n"));
         }
         if correlation_id(&head.headers).is_none_or(str::is_empty) {
@@ -107,7 +107,7 @@
         let time_left = text(TIME_LEFT).and_then(|v| v.trim().parse::<u64>().ok());
         let time_left = time_left.filter(|&ms| ms <= MOST_TIME_LEFT_MS);
         let patience = time_left.ok_or(bad("X-Time-Left-Ms is missing or makes no sense\n"))? * 1_000;
-        Ok(Request {
+        let request = Request {
             id,
             class: class.number,
             tenant,
@@ -116,7 +116,8 @@
             work: text(WEIGHT_HINT).and_then(|v| v.trim().parse().ok()),
             repeat: text(REPEAT) == Some("1"),
             upload: false,
-        })
+        };
+        Ok((request, class.effect))
     }
 }
 
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -7,6 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
@@ -476,6 +477,13 @@
     )
 }
 
+/// The same request under an id that no other one has, as clients send each of theirs.
+pub fn with_fresh_id(text: &str) -> String {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let (before, id) = text.split_once("X-Correlation-Id: ").expect("an id");
+    format!("{before}X-Correlation-Id: {}-{id}", NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
 impl Client {
     pub fn send(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).expect("the proxy reads");
