See a client's close behind all that it has sent by reading ahead of its requests

Cause: while a request is in work nothing of its connection is read, so what is behind it stays with the kernels; with more than the receive window there, the close comes to this machine only once it is read.

Class of fault: an event that queues behind data.

--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -354,6 +354,9 @@
                     if let Poll::Ready(ended) = conn.poll_without_shutdown(cx) {
                         return Poll::Ready(ended.is_err().then_some(CloseReason::Broken));
                     }
+                    if pace.reads_ahead() && memory.has_plenty() {
+                        wire.poll_read_ahead(cx);
+                    }
                     // A client that has gone waits for nothing. HTTP itself sees that only where nothing is unread.
                     if pace.is_asking() && left.as_mut().poll(cx).is_ready() {
                         return Poll::Ready(Some(CloseReason::ClientLeft));
@@ -450,7 +453,7 @@
     }
 
     async fn ask(&self, inbound: Inbound, pace: &Pace) -> Response<Answered> {
-        let asking = pace.ask();
+        let asking = pace.ask(inbound.call.upload.is_none());
         // One that has gone by now asks for nothing: its connection ends here.
         if pace.has_gone() {
             std::future::pending::<()>().await;
--- a/src/proxy/memory.rs
+++ b/src/proxy/memory.rs
@@ -75,6 +75,12 @@
         ALLOCATOR.allocated() + self.reserved.get() > self.threshold()
     }
 
+    /// Whether so much is free that it may be used for what can be done without.
+    #[must_use]
+    pub fn has_plenty(&self) -> bool {
+        ALLOCATOR.allocated() + self.reserved.get() < self.threshold() / 2
+    }
+
     fn threshold(&self) -> usize {
         let share = self.limit / self.processes.get();
         let least = (share / LEAST_PART).max(LEAST_BYTES);
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -15,6 +15,7 @@
 pub mod memory;
 pub mod pace;
 pub mod program;
+mod read_ahead;
 mod reload;
 mod request_head;
 mod responses;
--- a/src/proxy/pace.rs
+++ b/src/proxy/pace.rs
@@ -44,6 +44,7 @@
     at: Cell<At>,
     /// The client waits for an answer that others make: its leave ends their work.
     asking: Cell<bool>,
+    reads_ahead: Cell<bool>,
     /// Its end has to be a reset.
     resets: Cell<bool>,
 }
@@ -54,6 +55,7 @@
 impl Drop for Asking<'_> {
     fn drop(&mut self) {
         self.0.asking.set(false);
+        self.0.reads_ahead.set(false);
     }
 }
 
@@ -64,7 +66,8 @@
         let now = Instant::now();
         let (resets, first, at, asking) =
             (Cell::new(false), Cell::new(true), Cell::new(At::Idle(now, 0)), Cell::new(false));
-        Rc::new(Self { wire, connected: now, first, at, asking, resets })
+        let reads_ahead = Cell::new(false);
+        Rc::new(Self { wire, connected: now, first, at, asking, reads_ahead, resets })
     }
 
     /// A request's head has come. Gives the time that its body may take to begin.
@@ -76,13 +79,20 @@
         BODY
     }
 
-    /// From now on the client waits.
+    /// From now on the client waits. Unless its body is still to be read, what it sends meanwhile is read ahead.
     #[must_use]
-    pub fn ask(&self) -> Asking<'_> {
+    pub fn ask(&self, is_body_read: bool) -> Asking<'_> {
         self.asking.set(true);
+        self.reads_ahead.set(is_body_read);
         Asking(self)
     }
 
+    /// Whether what the client sends is read ahead.
+    #[must_use]
+    pub fn reads_ahead(&self) -> bool {
+        self.reads_ahead.get()
+    }
+
     /// Whether the client waits.
     #[must_use]
     pub fn is_asking(&self) -> bool {
--- a/src/proxy/socket.rs
+++ b/src/proxy/socket.rs
@@ -1,6 +1,7 @@
 //! A connection's socket as HTTP drives it, with counts of what went through.
 
-use std::cell::Cell;
+use super::read_ahead::{self, ReadAhead};
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -15,6 +16,9 @@
 /// each connection, and all of them count as this proxy's memory.
 const KERNEL_BUFFER: usize = 64 * 1024;
 
+/// How many chunks are read ahead before others have their turn.
+const CHUNKS_AT_ONCE: usize = 32;
+
 /// Counts what is open until it is dropped.
 pub struct Counted(Rc<Cell<usize>>);
 
@@ -46,14 +50,25 @@
     written_at_read: Cell<u64>,
     /// The next byte that it takes is a request's first.
     begins: Cell<bool>,
+    /// What was read before HTTP wanted it.
+    ahead: RefCell<ReadAhead>,
 }
 
 impl Wire {
     /// A socket that nothing went through.
     #[must_use]
     pub fn new(stream: TcpStream, counted: Option<Counted>) -> Rc<Self> {
-        let (written, read, blocked_since, written_at_read, begins) = Default::default();
-        Rc::new(Self { stream, _counted: counted, written, read, blocked_since, written_at_read, begins })
+        let (written, read, blocked_since, written_at_read, begins, ahead) = Default::default();
+        Rc::new(Self {
+            stream,
+            _counted: counted,
+            written,
+            read,
+            blocked_since,
+            written_at_read,
+            begins,
+            ahead,
+        })
     }
 
     /// Bytes that it took.
@@ -98,6 +113,9 @@
     /// may not have seen yet what the kernel knows already, so the socket itself is asked.
     #[must_use]
     pub fn is_quiet(&self) -> bool {
+        if !self.ahead.borrow().is_empty() {
+            return false;
+        }
         let mut byte = [MaybeUninit::uninit()];
         let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
         peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
@@ -117,12 +135,36 @@
         self.stream.try_io(Interest::PRIORITY, || Ok(())).is_ok()
     }
 
+    /// Reads what the peer has sent behind its request, so that its close is seen behind that. What is beyond the room
+    /// for it stays with the kernel.
+    pub fn poll_read_ahead(&self, cx: &mut Context<'_>) {
+        let mut ahead = self.ahead.borrow_mut();
+        let mut chunk = [0; read_ahead::CHUNK];
+        for _ in 0..CHUNKS_AT_ONCE {
+            if !ahead.has_room() || !matches!(self.stream.poll_read_ready(cx), Poll::Ready(Ok(()))) {
+                return;
+            }
+            match self.stream.try_read(&mut chunk) {
+                Ok(read @ 1..) => ahead.push(&chunk[..read]),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                // HTTP meets the end, or the error, itself.
+                Ok(0) | Err(_) => return,
+            }
+        }
+        cx.waker().wake_by_ref();
+    }
+
     /// A request goes out next. It does so only while the socket is quiet: what has come before its first byte is no
     /// answer to it.
     pub fn begin_request(&self) {
         self.begins.set(true);
     }
 
+    fn has_given(&self, bytes: usize) {
+        self.read.set(self.read.get() + bytes as u64);
+        self.written_at_read.set(self.written.get());
+    }
+
     fn wrote(&self, bytes: usize) {
         self.written.set(self.written.get() + bytes as u64);
         self.blocked_since.set(None);
@@ -134,12 +176,16 @@
 
 impl AsyncRead for WireIo {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let ahead = self.0.ahead.borrow_mut().take(buf);
+        if ahead > 0 {
+            self.0.has_given(ahead);
+            return Poll::Ready(Ok(()));
+        }
         loop {
             ready!(self.0.stream.poll_read_ready(cx))?;
             match self.0.stream.try_read(buf.initialize_unfilled()) {
                 Ok(read) => {
-                    self.0.read.set(self.0.read.get() + read as u64);
-                    self.0.written_at_read.set(self.0.written.get());
+                    self.0.has_given(read);
                     buf.advance(read);
                     return Poll::Ready(Ok(()));
                 }
