Let long answers wait for memory as well as for their turn

Change: an answer waits until memory is not short, and then for its permit, in both cases until its request's time ends, and is then answered 502 as before. tests/proxy/memory.rs plays each kind of long answer on its own as well.

The bound of the test is the limit, 32 MB, so it passed before as well.

--- a/src/proxy/bodies/answer.rs
+++ b/src/proxy/bodies/answer.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
 use std::time::Duration;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep_until};
 
 /// What has come of a backend's answer when it is passed on.
 pub enum Begun {
@@ -22,16 +22,13 @@
 /// and to travel.
 const PASS_MARGIN: Duration = Duration::from_millis(40);
 
-/// How often it is looked whether memory is free again.
-const MEMORY_CHECK: Duration = Duration::from_millis(10);
-
 async fn next_frame(
     body: &mut Incoming,
     held: usize,
     memory: &MemoryGauge,
 ) -> Option<Result<Frame<Bytes>, hyper::Error>> {
-    while held > SMALL_BODY && memory.is_short() {
-        sleep(MEMORY_CHECK).await;
+    if held > SMALL_BODY {
+        memory.enough().await;
     }
     body.frame().await
 }
--- a/src/proxy/bodies/transfers.rs
+++ b/src/proxy/bodies/transfers.rs
@@ -43,8 +43,9 @@
         acquire(&self.up, until).await
     }
 
-    /// The same for an answer's.
+    /// The same for an answer's, which also waits while memory is short.
     pub async fn down(&self, until: Instant) -> Option<Permit> {
+        timeout_at(until, self.memory.enough()).await.ok()?;
         acquire(&self.down, until).await
     }
 }
--- a/src/proxy/memory.rs
+++ b/src/proxy/memory.rs
@@ -8,6 +8,8 @@
 use std::alloc::System;
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
 
 #[global_allocator]
 static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
@@ -19,6 +21,9 @@
 const LEAST_PART: usize = 8;
 const LEAST_BYTES: usize = 4 << 20;
 
+/// How often it is looked whether memory is free again.
+const CHECK_EVERY: Duration = Duration::from_millis(10);
+
 /// The memory in use, against the process's limit.
 #[derive(Debug)]
 pub struct MemoryGauge {
@@ -75,6 +80,13 @@
         ALLOCATOR.allocated() + self.reserved.get() > self.threshold()
     }
 
+    /// Waits until something more may be let in.
+    pub async fn enough(&self) {
+        while self.is_short() {
+            sleep(CHECK_EVERY).await;
+        }
+    }
+
     /// Whether so much is free that it may be used for what can be done without.
     #[must_use]
     pub fn has_plenty(&self) -> bool {
--- a/tests/proxy/memory.rs
+++ b/tests/proxy/memory.rs
@@ -149,6 +149,18 @@
     });
 }
 
+/// Asks for a long answer and reads 10 kB of it a second.
+fn read_slowly(proxy: &Proxy, id: &str) {
+    let mut stream = connect(proxy);
+    // The window is small as well: the proxy can't leave the answer to the kernel.
+    let _ = socket2::SockRef::from(&stream).set_recv_buffer_size(4_096);
+    let _ = stream.write_all(request("read", id, "").as_bytes());
+    let (since, mut buffer) = (Instant::now(), [0; 2_000]);
+    while since.elapsed() < SLOW_READ && matches!(stream.read(&mut buffer), Ok(1..)) {
+        thread::sleep(Duration::from_millis(200));
+    }
+}
+
 fn chunked_answer(bytes: usize) -> Vec<u8> {
     const CHUNK: usize = 8_000;
     let chunk = format!("{CHUNK:x}\r\n{}\r\n", "a".repeat(CHUNK));
@@ -164,17 +176,11 @@
         Some(id) if id.starts_with("whole") => Reply::Write(answer("200 OK", "", &vec![b'a'; 65_000])),
         _ => ok("served"),
     });
-    at_once(&site, "answers read slowly", |n, proxy| {
-        let mut stream = connect(proxy);
-        // The window is small as well: the proxy can't leave the answer to the kernel.
-        let _ = socket2::SockRef::from(&stream).set_recv_buffer_size(4_096);
-        let kind = ["length", "chunks", "whole"][n % 3];
-        let _ = stream.write_all(request("read", &format!("{kind}-{n}"), "").as_bytes());
-        let (since, mut buffer) = (Instant::now(), [0; 2_000]);
-        while since.elapsed() < SLOW_READ && matches!(stream.read(&mut buffer), Ok(1..)) {
-            thread::sleep(Duration::from_millis(200));
-        }
-    });
+    for kinds in [&["length", "chunks", "whole"][..], &["length"], &["chunks"]] {
+        at_once(&site, &format!("answers read slowly, {kinds:?}"), |n, proxy| {
+            read_slowly(proxy, &format!("{}-{n}", kinds[n % kinds.len()]));
+        });
+    }
 }
 
 /// All kinds together, beside clients that ask for little: they get their final answers meanwhile.
@@ -198,15 +204,7 @@
                 let chunk = format!("1000\r\n{}\r\n", "c".repeat(4_096));
                 send_and_read(proxy, (head + &chunk.repeat(30)).as_bytes());
             }
-            7..=9 => {
-                let mut stream = connect(proxy);
-                let _ = socket2::SockRef::from(&stream).set_recv_buffer_size(4_096);
-                let _ = stream.write_all(request("read", &format!("long-{n}"), "").as_bytes());
-                let (since, mut buffer) = (Instant::now(), [0; 2_000]);
-                while since.elapsed() < SLOW_READ && matches!(stream.read(&mut buffer), Ok(1..)) {
-                    thread::sleep(Duration::from_millis(200));
-                }
-            }
+            7..=9 => read_slowly(proxy, &format!("long-{n}")),
             _ => {
                 for turn in 0..20 {
                     let mut client = proxy.client();
