See a client's close behind a whole large body while its request is held

Cause: nothing of a large body is read while its request waits for room or for a connection, so that the close behind it stays with the kernels.

Evidence: a request with a body of 600 kB whose client closed while it was held went to the backend once there was room.

Fix: a large body is read ahead as well until it begins to go out; from then on the backend's pace is the client's, as before. The same 2 MiB and the same bound on memory hold.

--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -453,7 +453,7 @@
     }
 
     async fn ask(&self, inbound: Inbound, pace: &Pace) -> Response<Answered> {
-        let asking = pace.ask(inbound.call.upload.is_none());
+        let asking = pace.ask(inbound.call.upload.clone());
         // One that has gone by now asks for nothing: its connection ends here.
         if pace.has_gone() {
             std::future::pending::<()>().await;
--- a/src/proxy/pace.rs
+++ b/src/proxy/pace.rs
@@ -1,9 +1,10 @@
 //! How long a client's connection may take for what it is at.
 
+use super::bodies::Upload;
 use super::drain::Phase;
 use super::event_log::CloseReason;
 use super::socket::Wire;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -44,7 +45,8 @@
     at: Cell<At>,
     /// The client waits for an answer that others make: its leave ends their work.
     asking: Cell<bool>,
-    reads_ahead: Cell<bool>,
+    /// The large body of its request.
+    upload: RefCell<Option<Rc<Upload>>>,
     /// Its end has to be a reset.
     resets: Cell<bool>,
 }
@@ -55,7 +57,7 @@
 impl Drop for Asking<'_> {
     fn drop(&mut self) {
         self.0.asking.set(false);
-        self.0.reads_ahead.set(false);
+        self.0.upload.replace(None);
     }
 }
 
@@ -66,8 +68,8 @@
         let now = Instant::now();
         let (resets, first, at, asking) =
             (Cell::new(false), Cell::new(true), Cell::new(At::Idle(now, 0)), Cell::new(false));
-        let reads_ahead = Cell::new(false);
-        Rc::new(Self { wire, connected: now, first, at, asking, reads_ahead, resets })
+        let upload = RefCell::new(None);
+        Rc::new(Self { wire, connected: now, first, at, asking, upload, resets })
     }
 
     /// A request's head has come. Gives the time that its body may take to begin.
@@ -79,18 +81,20 @@
         BODY
     }
 
-    /// From now on the client waits. Unless its body is still to be read, what it sends meanwhile is read ahead.
+    /// From now on the client waits. What it sends meanwhile is read ahead, a large body until it begins to go out.
     #[must_use]
-    pub fn ask(&self, is_body_read: bool) -> Asking<'_> {
+    pub fn ask(&self, upload: Option<Rc<Upload>>) -> Asking<'_> {
         self.asking.set(true);
-        self.reads_ahead.set(is_body_read);
+        self.upload.replace(upload);
         Asking(self)
     }
 
     /// Whether what the client sends is read ahead.
     #[must_use]
     pub fn reads_ahead(&self) -> bool {
-        self.reads_ahead.get()
+        // From then on the backend's pace is the client's.
+        let is_going_out = self.upload.borrow().as_ref().is_some_and(|upload| upload.is_spent());
+        self.asking.get() && !is_going_out
     }
 
     /// Whether the client waits.
--- a/tests/proxy/gone.rs
+++ b/tests/proxy/gone.rs
@@ -367,6 +367,29 @@
     }
 }
 
+/// The whole body and the close behind it are on this machine, and nothing of them is read while the request is held.
+#[test]
+fn a_large_request_that_is_held_is_not_sent_once_its_client_has_gone_behind_its_whole_body() {
+    for how in [Leave::Close, Leave::HalfClose] {
+        let discovery = Discovery::start();
+        let backend = Gated::start();
+        let name = format!("gone-whole-{how:?}").to_lowercase();
+        let proxy = Proxy::start(&name, &discovery, &[entry("s-1", backend.address, "active", 0)]);
+        let first = fill(&proxy, &backend);
+        let mut leaver = proxy.client();
+        let text = request("submit", "gone", &"u".repeat(600_000));
+        socket2::SockRef::from(&leaver.stream).set_send_buffer_size(2 * text.len()).expect("an option");
+        leaver.send(&text);
+        has_seen(&proxy);
+        let _gone = leave(leaver, how);
+        notice(&proxy);
+        backend.open();
+        first.into_iter().for_each(|mut client| assert_eq!(client.receive().status(), 200));
+        assert_eq!(proxy.client().ask(&request("read", "after", "")).status(), 200);
+        assert_eq!(backend.rest(NEVER), ["after"], "{how:?}");
+    }
+}
+
 /// The first attempt was turned away, and the request waits for another backend when its client goes.
 #[test]
 fn a_request_between_two_attempts_is_not_sent_once_its_client_has_gone() {
