Keep what a predecessor tells right behind its state

Cause, by reading: the new process reads the handed state's line through a buffer, and what came behind it in the same read was dropped with the buffer.

Class of fault: a buffered reader dropped in the middle of a stream.

--- a/src/proxy/handover/listener.rs
+++ b/src/proxy/handover/listener.rs
@@ -33,6 +33,8 @@
 pub struct Predecessor {
     state: Option<SavedState>,
     pub(super) link: StdUnixStream,
+    /// What it has told already behind its state.
+    pub(super) told: Vec<u8>,
 }
 
 impl Predecessor {
@@ -73,9 +75,11 @@
     }
     socket.set_nonblocking(true)?;
     let mut line = String::new();
-    BufReader::new((&link).take(STATE_CAP)).read_line(&mut line)?;
+    let mut reader = BufReader::new((&link).take(STATE_CAP));
+    reader.read_line(&mut line)?;
+    let told = reader.buffer().to_vec();
     let state = Some(serde_json::from_str(&line)?);
-    Ok((TcpListener::from_std(socket.into())?, Predecessor { state, link }))
+    Ok((TcpListener::from_std(socket.into())?, Predecessor { state, link, told }))
 }
 
 /// Hands the listener and this state to the process at the other end.
--- a/src/proxy/handover/siblings.rs
+++ b/src/proxy/handover/siblings.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use std::{fs, io};
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, UnixListener, UnixStream};
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -112,11 +112,12 @@
 
     /// Stays linked to the process that handed over.
     pub fn follow(self: &Rc<Self>, other: Predecessor) {
-        let linked = other.link.set_nonblocking(true).and_then(|()| UnixStream::from_std(other.link));
+        let Predecessor { link, told, .. } = other;
+        let linked = link.set_nonblocking(true).and_then(|()| UnixStream::from_std(link));
         match linked {
             Ok(stream) => {
                 let siblings = Rc::clone(self);
-                tokio::task::spawn_local(async move { siblings.link(stream).await });
+                tokio::task::spawn_local(async move { siblings.link(stream, told).await });
             }
             Err(error) => log(format_args!("no link to the other process: {error}")),
         }
@@ -133,7 +134,7 @@
                     siblings.successors.set(siblings.successors.get() + 1);
                     let ended = tokio::task::spawn_local(async move {
                         match siblings.hand_over(&stream).await {
-                            Ok(()) => siblings.link(stream).await,
+                            Ok(()) => siblings.link(stream, Vec::new()).await,
                             Err(error) => log(format_args!("the listener can't be handed over: {error}")),
                         }
                         siblings.successors.set(siblings.successors.get() - 1);
@@ -168,8 +169,9 @@
         Ok(())
     }
 
-    /// Tells the other process what this one holds, and hears the same of it, until one of them ends.
-    async fn link(&self, stream: UnixStream) {
+    /// Tells the other process what this one holds, and hears the same of it, until one of them ends; `told` is what has
+    /// been read of it already.
+    async fn link(&self, stream: UnixStream, told: Vec<u8>) {
         let number = self.links.get();
         self.links.set(number + 1);
         // Until it has spoken it may hold half of everything.
@@ -178,7 +180,7 @@
         self.told.set(Held { clients: self.clients.open(), backends: self.fleet.open() });
         self.judge();
         let (read, mut write) = stream.into_split();
-        let mut lines = tokio::io::BufReader::new(read).lines();
+        let mut lines = tokio::io::BufReader::new(io::Cursor::new(told).chain(read)).lines();
         let (sibling, mut ids) = mpsc::channel(IDS_UNDER_WAY);
         self.source.handle.tell(Message::Sibling(sibling));
         let mut tick = interval(TELL_EVERY);
