--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,119 +1,124 @@
-//! Discovery is down for 8 s, and at its return it has so many callers that each proxy's first call fails: do sends to
-//! a backend that began to drain meanwhile end in the time that counts from the return?
+//! Many bad clients stop in the middle of a head and stay: does every other client's request get its final answer?
 #[path = "../stand-ins-2/common.rs"]
 mod common;
 use common::*;
-use std::net::TcpStream;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// How long discovery is down (`herd+mass`).
-const DOWN: Duration = Duration::from_secs(8);
-const PROXIES: u32 = 3;
-/// How long the first call waits at the crowded service until it fails.
-const WAITED: Duration = Duration::from_millis(1_800);
-/// From the return: what discovery has counts as told 6 s later at the latest; the settings' grace; the 50 ms of the
-/// protocol.
-const TOLD_MS: u64 = 6_000;
-const GRACE_MS: u64 = 500;
-const SLACK_MS: u64 = 50;
+/// Bad clients. Each that was answered or closed comes again after `COMES_AGAIN`.
+const BAD: usize = 120;
+const COMES_AGAIN: Duration = Duration::from_millis(500);
+/// The least number of descriptors that the pages give a proxy; a third of them may be clients' connections.
+const SOCKETS: &str = "\"sockets\":256";
+const CLIENTS: u64 = 6;
+const SECONDS: u64 = 20;
+const TIME_LEFT_MS: u64 = 1_500;
+/// Half a second after its time (STANDING), and the 50 ms of the protocol page.
+const SLACK_MS: u64 = 550;
+/// How long a client stays to see what comes.
+const STAYS: Duration = Duration::from_secs(6);
 
-/// What discovery has and how it is.
-struct State {
-    down: AtomicBool,
-    /// How many further calls fail because others are before them.
-    crowded: AtomicU64,
-    /// Its newest list.
-    list: Mutex<(u64, Vec<Member>)>,
+/// Reads until an answer with a length is whole, the connection has ended (`None`), or `until`.
+fn read_answer(stream: &mut TcpStream, until: Instant) -> Result<Option<Message>, &'static str> {
+    let mut bytes = Vec::new();
+    let mut chunk = [0; 4096];
+    let _ = stream.set_read_timeout(Some(ms(20)));
+    while Instant::now() < until {
+        match stream.read(&mut chunk) {
+            Ok(0) => return Ok(None),
+            Ok(n) => bytes.extend_from_slice(&chunk[..n]),
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+            Err(_) => return Ok(None),
+        }
+        let mut rest = bytes.clone();
+        let head = String::from_utf8_lossy(&rest).find("\r\n\r\n").map(|at| rest.drain(..at + 4).count());
+        let Some(_) = head else { continue };
+        let text = String::from_utf8_lossy(&bytes).to_ascii_lowercase();
+        let length = text.split("content-length:").nth(1).and_then(|l| l.split("\r\n").next()?.trim().parse::<usize>().ok());
+        if length.is_some_and(|length| rest.len() >= length) {
+            let line = text.split("\r\n").next().unwrap_or_default().to_owned();
+            return Ok(Some(Message { line, body: rest, ..Message::default() }));
+        }
+    }
+    Err("no answer and no end")
 }
 
-/// A discovery service: while it is down each call ends with 503, and watches end; while it is crowded a call waits
-/// too long and ends with 503.
-fn discovery(lab: &Arc<Lab>, state: Arc<State>) -> std::net::SocketAddr {
-    let lab = Arc::clone(lab);
-    serve(0, move |stream: &mut TcpStream| {
-        let mut buffer = Vec::new();
-        let is_down = || state.down.load(Ordering::Relaxed);
-        while let Some(request) = read_request(stream, &mut buffer)? {
-            let target = request.line.split(' ').nth(1).unwrap_or_default().to_owned();
-            if is_down() {
-                lab.say(&format!("discovery is down: {target}: 503"));
-                answer(stream, "503 Service Unavailable", "")?;
-                continue;
-            }
-            let take = |n: u64| n.checked_sub(1);
-            if state.crowded.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok() {
-                lab.say(&format!("discovery is crowded: {target} waits"));
-                thread::sleep(WAITED);
-                lab.say(&format!("discovery: {target} has waited too long: 503"));
-                answer(stream, "503 Service Unavailable", "")?;
-                continue;
-            }
-            let number = |key: &str| -> u64 {
-                let value = target.split(['?', '&']).filter_map(|p| p.split_once('=')).find(|(k, _)| *k == key);
-                value.and_then(|(_, v)| v.parse().ok()).unwrap_or(0)
-            };
-            let after = number("after");
-            let until = Instant::now() + Duration::from_millis(number("wait_ms"));
-            while after > 0 && state.list.lock().unwrap().0 <= after && Instant::now() < until && !is_down() {
-                thread::sleep(ms(5));
-            }
-            if is_down() {
-                // The watch ends.
-                return Ok(());
-            }
-            let (revision, members) = state.list.lock().unwrap().clone();
-            let news = after < revision;
-            if news {
-                lab.say(&format!("discovery: {target} is answered with the list of revision {revision}"));
-            }
-            let text = if news { list_json(revision, true, &members) } else { list_json(revision, false, &[]) };
-            answer(stream, "200 OK", &text)?;
+fn bad_client(lab: &Lab, listen: SocketAddr, stop: &AtomicBool) {
+    while !stop.load(Ordering::Relaxed) {
+        if let Ok(mut stream) = connect(listen) {
+            let began = Instant::now();
+            let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
+            let _ = stream.write_all(b"POST /salva-domanda HTTP/1.1\r\nHost: iscr-web.svc\r\nX-Corr");
+            while let Ok(1..) = stream.read(&mut [0; 4096]) {}
+            lab.say(&format!("a bad client was rid of {:.3} s after it connected", began.elapsed().as_secs_f64()));
         }
-        Ok(())
-    })
+        thread::sleep(COMES_AGAIN);
+    }
 }
 
 fn main() {
     let lab = Lab::new("9");
     let backends: Vec<Backend> = ["s-1", "s-2", "s-3"].iter().map(|id| Backend::start(&lab, id, ms(20))).collect();
     let members: Vec<Member> = backends.iter().map(|b| Member::new(&b.id, b.address)).collect();
-    let mut later = members.clone();
-    later[0].phase = "leaving".to_owned();
-    let list = Mutex::new((41, members.clone()));
-    let state = Arc::new(State { down: AtomicBool::new(false), crowded: AtomicU64::new(0), list });
-    let address = discovery(&lab, Arc::clone(&state));
-    let proxies: Vec<Proxy> = (0..PROXIES).map(|i| Proxy::new(&format!("n{i}"))).collect();
-    let known = list_json(41, true, &members);
-    for (i, proxy) in (0..).zip(&proxies) {
-        let config = lab.file(&format!("config-{i}.json"), &proxy.config(address, &known, &settings(i, PROXIES)));
-        lab.proxy(&proxy.name, &config, &lab.tmp.join(format!("tmp-{i}")), &[]);
-    }
-    let up = wait_for(Duration::from_secs(20), || proxies.iter().all(|p| is_up(p.listen)));
-    lab.need(up, "the proxies are up");
-    let loads: Vec<Load> = proxies.iter().map(|p| Load::start(&lab, p.listen, 2, ms(20))).collect();
-    thread::sleep(ms(4_000));
-    if trouble() {
-        lab.say("discovery goes down");
-        state.down.store(true, Ordering::Relaxed);
-    }
-    thread::sleep(DOWN);
-    lab.need(!backends[0].since(Instant::now() - ms(2_000)).is_empty(), "s-1 is in use");
-    // The release has begun meanwhile.
-    *state.list.lock().unwrap() = (42, later);
-    state.crowded.store(if trouble() { u64::from(PROXIES) } else { 0 }, Ordering::Relaxed);
-    state.down.store(false, Ordering::Relaxed);
-    let back = Instant::now();
-    lab.say("discovery is back and has s-1 as leaving");
-    thread::sleep(ms(11_000));
-    loads.into_iter().for_each(|load| load.end(&lab));
-    let late = backends[0].since(back + ms(TOLD_MS + GRACE_MS + SLACK_MS));
-    for (at, id) in late.iter().take(20) {
-        lab.say(&format!("s-1, draining, got {id}, {:.3} s after discovery's return", (*at - back).as_secs_f64()));
+    let discovery = Discovery::start(members.clone());
+    let proxy = Proxy::new("n0");
+    let known = list_json(1, true, &members);
+    let text = proxy.config(discovery.address, &known, &settings(0, 1)).replace("\"sockets\":1024", SOCKETS);
+    let config = lab.file("config.json", &text);
+    lab.proxy("n0", &config, &lab.tmp.join("t"), &[]);
+    lab.need(wait_for(Duration::from_secs(20), || is_up(proxy.listen)), "the proxy is up");
+    let listen = proxy.listen;
+    let stop = Arc::new(AtomicBool::new(false));
+    let counts: Arc<[AtomicU64; 4]> = Arc::default();
+    for _ in 0..if trouble() { BAD } else { 0 } {
+        let (lab, stop) = (Arc::clone(&lab), Arc::clone(&stop));
+        thread::spawn(move || bad_client(&lab, listen, &stop));
     }
-    let last = backends[0].since(back).last().map_or(0.0, |(at, _)| (*at - back).as_secs_f64());
-    lab.say(&format!("the last request to s-1 came {last:.3} s after the return; after the bound {}", late.len()));
-    lab.finish(if late.is_empty() { 0 } else { 1 })
+    thread::sleep(ms(500));
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|i| {
+            let (lab, stop, counts) = (Arc::clone(&lab), Arc::clone(&stop), Arc::clone(&counts));
+            thread::spawn(move || {
+                let [served, others, closed, lost] = &*counts;
+                thread::sleep(ms(i * 70));
+                while !stop.load(Ordering::Relaxed) {
+                    let id = fresh();
+                    // A client without a connection opens one.
+                    let Ok(mut stream) = connect(listen) else { continue };
+                    let _ = stream.write_all(request_text("salva-domanda", &id, TIME_LEFT_MS).as_bytes());
+                    let sent = Instant::now();
+                    lab.say(&format!("sent: {id} salva-domanda"));
+                    let got = read_answer(&mut stream, sent + STAYS);
+                    let (after, late) = (sent.elapsed(), sent.elapsed() > ms(TIME_LEFT_MS + SLACK_MS));
+                    let what = match &got {
+                        Ok(Some(answer)) => answer.line.clone(),
+                        Ok(None) => "the connection was closed with no answer".to_owned(),
+                        Err(why) => (*why).to_owned(),
+                    };
+                    let mark = if late { "LOST" } else { "ended" };
+                    lab.say(&format!("{mark}: {id}: {what} after {:.3} s", after.as_secs_f64()));
+                    let count = match got {
+                        _ if late => lost,
+                        Ok(Some(answer)) if status_of(&answer) == 200 => served,
+                        Ok(Some(_)) => others,
+                        // The first request on a connection that is closed unread has failed and is not lost (TERMS).
+                        _ => closed,
+                    };
+                    count.fetch_add(1, Ordering::Relaxed);
+                    thread::sleep(ms(30));
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(SECONDS));
+    stop.store(true, Ordering::Relaxed);
+    clients.into_iter().for_each(|c| c.join().expect("a client"));
+    let [served, others, closed, lost] = [0, 1, 2, 3].map(|i| counts[i].load(Ordering::Relaxed));
+    lab.say(&format!("served {served}, refused or failed {others}, closed unread in time {closed}, without an answer in time {lost}"));
+    lab.need(served + others + closed + lost > 10, "clients asked");
+    lab.finish(if lost > 0 { 1 } else { 0 })
 }
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 6 to 9 with the machine's own rustc, of the standard library alone. All other
+# Builds the stand-ins of the cases 6 to 10 with the machine's own rustc, of the standard library alone. All other
 # programs that the cases start are built by the deploy file's `build`. Needs no network.
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -1,4 +1,4 @@
-//! What the cases 6 to 9 share: stand-ins for clients, backends and discovery (threads on loopback addresses),
+//! What the cases 6 to 10 share: stand-ins for clients, backends and discovery (threads on loopback addresses),
 //! and the project's programs as separate processes. Standard library only.
 #![allow(dead_code)]
 
