End an answer without a length once its backend hardly goes on with it

What callers saw: a backend gave 10 KiB of an answer without a length and then 50 bytes each 0.3 s, for ever.

Cause: Download::due took an answer of which 8 KiB had come for a large one that is written slowly, and from then on looked at pauses alone: one byte in half a second kept it going. Of seven forms of the new test six failed before (bytes each 20 ms, 5 kB a second, 62 KiB at the beginning, a late beginning, no chunks); the one that falls silent held, so it is not the pause.

Change: past its time such an answer goes on only while the backend keeps 16 kB a second, with pauses of up to 0.5 s; beyond 64 KiB 1 kB a second and 3 s. The rule is the one that clients' bodies had, now in WaitBudget for both. It works because only the time counts in which the backend is waited for, so that a slow client costs nothing.

Measured: both tests of endless_answers.rs and the three of slow_servers.rs pass (debug build, arm64).

--- a/src/proxy/bodies/client.rs
+++ b/src/proxy/bodies/client.rs
@@ -4,6 +4,7 @@
 use super::SMALL_BODY;
 use super::clock::RequestClock;
 use super::held::{HeldBody, HeldMemory, OutOfMemory};
+use super::wait_budget::WaitBudget;
 use crate::proxy::BODY_CAP;
 use crate::proxy::memory::MemoryGauge;
 use bytes::Bytes;
@@ -17,8 +18,7 @@
 use thiserror::Error;
 use tokio::time::{Instant, Sleep, sleep_until};
 
-/// A peer's time for its body: it shrinks while nothing comes and grows with each byte at a rate that every peer
-/// has to keep, up to a limit.
+/// The rate that every client has to keep, in bytes a second, and how long it may pause.
 const LEAST_RATE: f64 = 32_000.0;
 const MOST_PAUSE: Duration = Duration::from_millis(2_500);
 
@@ -60,8 +60,7 @@
 /// counts: a backend that takes the body slowly does not make the client late.
 pub struct Paced {
     body: Incoming,
-    left: Duration,
-    waiting_since: Option<Instant>,
+    budget: WaitBudget,
     sleep: Pin<Box<Sleep>>,
     pub(super) clock: Rc<RequestClock>,
     pub(super) received: u64,
@@ -72,7 +71,8 @@
     #[must_use]
     pub fn new(body: Incoming, left: Duration, clock: Rc<RequestClock>) -> Self {
         let sleep = Box::pin(sleep_until(Instant::now() + left));
-        Self { body, left, waiting_since: None, sleep, clock, received: 0 }
+        let budget = WaitBudget::new(left, LEAST_RATE, MOST_PAUSE);
+        Self { body, budget, sleep, clock, received: 0 }
     }
 
     /// Its length, where the head tells it.
@@ -85,17 +85,14 @@
         loop {
             let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) else {
                 self.clock.wants_more();
-                let since = *self.waiting_since.get_or_insert_with(Instant::now);
-                let until = since + self.left;
+                let until = self.budget.runs_out();
                 if self.sleep.deadline() != until {
                     self.sleep.as_mut().reset(until);
                 }
                 return self.sleep.as_mut().poll(cx).map(|()| Some(Err(Fault::Late)));
             };
             self.clock.has_more();
-            if let Some(since) = self.waiting_since.take() {
-                self.left = self.left.saturating_sub(since.elapsed());
-            }
+            self.budget.end_wait();
             let data = match frame {
                 None => return Poll::Ready(None),
                 Some(Err(_)) => return Poll::Ready(Some(Err(Fault::Broken))),
@@ -106,8 +103,7 @@
                 },
             };
             self.received += data.len() as u64;
-            let earned = Duration::from_secs_f64(data.len() as f64 / LEAST_RATE);
-            self.left = (self.left + earned).min(MOST_PAUSE.max(self.left));
+            self.budget.earn(data.len());
             if self.received > PASSED_CAP {
                 return Poll::Ready(Some(Err(Fault::TooLarge)));
             }
--- a/src/proxy/bodies/download.rs
+++ b/src/proxy/bodies/download.rs
@@ -2,6 +2,7 @@
 
 use super::PASSED_CAP;
 use super::transfers::{Permit, Transfers};
+use super::wait_budget::WaitBudget;
 use crate::proxy::BODY_CAP;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -21,9 +22,19 @@
 /// How long after its time an answer may become a large one: what has not ended half a second after it is lost.
 const LATE_BY: Duration = Duration::from_millis(300);
 /// An answer of unknown length that has this many bytes may be a large one that its backend writes slowly: it goes on
-/// for as long as no pause is longer than [`GIVING_PAUSE`].
+/// while the backend keeps this rate, in bytes a second, with no pause longer than [`GIVING_PAUSE`].
 const MAYBE_LARGE: u64 = 8 * 1024;
+const GIVING_RATE: f64 = 16_000.0;
 const GIVING_PAUSE: Duration = Duration::from_millis(500);
+/// The rate below which a large answer of unknown length never ends, in bytes a second. Its pauses are those of other
+/// large ones.
+const ENDLESS_RATE: f64 = 1_000.0;
+
+/// How long the backend of an answer without a length may be waited for.
+fn budget(is_large: bool) -> WaitBudget {
+    let (rate, pause) = if is_large { (ENDLESS_RATE, ANSWER_PAUSE) } else { (GIVING_RATE, GIVING_PAUSE) };
+    WaitBudget::new(pause, rate, pause)
+}
 
 /// An answer's body that passes through to a client. What it holds on to is given back at its end.
 pub struct Download {
@@ -34,9 +45,9 @@
     is_large: bool,
     /// When the request's time ends.
     until: Instant,
-    /// Since when more of it is waited for; `None`: what came last is still on its way to the client, however long
-    /// that takes it.
-    waits_since: Option<Instant>,
+    /// How long the backend may be waited for. What came last may be on its way to the client however long that takes
+    /// it.
+    budget: WaitBudget,
     late: Pin<Box<Sleep>>,
     at_end: Option<Box<dyn FnOnce()>>,
     transfers: Transfers,
@@ -62,14 +73,15 @@
     ) -> Self {
         let received = begun.len() as u64;
         let left = rest.size_hint().exact().map(|left| left + received);
+        let is_large = left.unwrap_or(received) > BODY_CAP as u64;
         Self {
             begun,
             rest,
             left,
             received,
-            is_large: left.unwrap_or(received) > BODY_CAP as u64,
+            is_large,
             until,
-            waits_since: None,
+            budget: budget(is_large),
             late: Box::pin(sleep_until(until)),
             at_end: Some(at_end),
             transfers,
@@ -91,14 +103,26 @@
         }
     }
 
-    /// When an answer of which no more has come since then has broken off.
-    fn due(&self, waits_since: Instant) -> Instant {
-        if self.is_large {
-            return self.until.max(waits_since + ANSWER_PAUSE);
+    /// When an answer of which no more comes has broken off.
+    fn due(&mut self) -> Instant {
+        let (waits_since, runs_out) = (self.budget.begin_wait(), self.budget.runs_out());
+        let is_sized = self.left.is_some();
+        match self.is_large {
+            true if is_sized => self.until.max(waits_since + ANSWER_PAUSE),
+            true => self.until.max(runs_out),
+            false if is_sized || self.received < MAYBE_LARGE => self.until + LATE_BY,
+            false => runs_out.max(self.until + LATE_BY),
+        }
+    }
+
+    /// So many bytes have come.
+    fn count(&mut self, bytes: usize) {
+        self.received += bytes as u64;
+        self.budget.earn(bytes);
+        if !self.is_large && self.received > BODY_CAP as u64 {
+            self.is_large = true;
+            self.budget = budget(true);
         }
-        let due = self.until + LATE_BY;
-        let may_be_large = self.left.is_none() && self.received >= MAYBE_LARGE;
-        if may_be_large { due.max(waits_since + GIVING_PAUSE) } else { due }
     }
 
     fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, io::Error>>> {
@@ -107,14 +131,13 @@
         }
         loop {
             let Poll::Ready(frame) = Pin::new(&mut self.rest).poll_frame(cx) else {
-                let waits_since = *self.waits_since.get_or_insert_with(Instant::now);
-                let due = self.due(waits_since);
+                let due = self.due();
                 if self.late.deadline() != due {
                     self.late.as_mut().reset(due);
                 }
                 return self.late.as_mut().poll(cx).map(|()| Some(Err(io::ErrorKind::TimedOut.into())));
             };
-            self.waits_since = None;
+            self.budget.end_wait();
             match frame {
                 None => {
                     self.finish();
@@ -123,8 +146,7 @@
                 Some(Err(error)) => return Poll::Ready(Some(Err(io::Error::other(error)))),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
-                        self.received += data.len() as u64;
-                        self.is_large |= self.received > BODY_CAP as u64;
+                        self.count(data.len());
                         // One that tells no length may have no end.
                         if self.left.is_none() && self.received > PASSED_CAP {
                             return Poll::Ready(Some(Err(io::ErrorKind::FileTooLarge.into())));
--- a/src/proxy/bodies/mod.rs
+++ b/src/proxy/bodies/mod.rs
@@ -12,6 +12,7 @@
 mod held;
 mod transfers;
 mod upload;
+mod wait_budget;
 
 pub use answer::{Begun, begin};
 pub use client::{Fault, Paced, Read, ReadError};
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod customers;
 mod descriptors;
+mod endless_answers;
 mod event_log;
 mod gone;
 mod instants;
