Ask discovery again in time after a call that fails at its return

Cause: the pause after a failed call was drawn from 3.4 to 4.5 s from that call's end, in a bank of any size. One call fits into the 6 s after a return, and none behind one that fails. Evidence: in the record the calls that failed at 14.80, 15.20 and 15.51 s were followed at 18.24, 18.68 and 19.80 s, each answered at once; so neither a lost call nor a list taken late.

Change: src/discovery_schedule.rs takes these decisions out of the balancer. The next call begins 3.1 s after the beginning of a failed one at the latest, so that two begin within the bound whatever became of the first; small banks ask each 0.75 s, for they cost discovery little. A move by SIGHUP starts the count of failures anew.

--- a/src/api.rs
+++ b/src/api.rs
@@ -388,6 +388,8 @@
         /// Their number, this one among them; `None`: all that the settings count.
         proxies: Option<u32>,
     },
+    /// Discovery is asked anew, at another address or for another part of its list, and at once.
+    DiscoveryMoved,
     /// How many processes serve in this instance's place while one replaces another.
     Company {
         /// Their number, this one among them.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -11,6 +11,7 @@
     Membership, Micros, Outcome, Readiness, Request, RequestId, Senders, Settings, SettingsError, Settled,
     Tenant, TenantNumber,
 };
+use crate::discovery_schedule::DiscoverySchedule;
 use crate::state::{
     Attempt, AttemptState, Bucket, Buckets, ColdBudget, CommonLimit, Latencies, Latency, Open, PeakRate,
     Pool, Requests, Scope, Server, Window,
@@ -77,17 +78,6 @@
 /// this part of the aim at the least.
 const CHANCE_SLOTS: f64 = 16.0;
 const CHANCE_WAIT: f64 = 0.125;
-/// Whatever became of the calls, a change counts as told this long after discovery had it and could be
-/// reached. All waits for discovery are parts of it, those of `src/proxy/discovery/` too.
-pub const TOLD: Micros = 6 * SECOND;
-/// How long an answer may take where all proxies ask.
-const ANSWER: Micros = TOLD / 5;
-/// When a call that opens a watch is given up.
-pub const OPEN_WITHIN: Micros = TOLD / 3;
-/// The time that a call takes discovery: it was measured to answer 60 to 100 a second (47d1ab73).
-const DISCOVERY_TURN: Micros = SECOND / 60;
-/// The shortest and the longest pause after a failed call; the longest leaves an answer its time.
-const DISCOVERY_PAUSE: (Micros, Micros) = (SECOND / 10, TOLD * 3 / 4);
 /// So many bodies that are on their way to a server count as a slot: they take seconds, the work far less.
 const UPLOADS_PER_SLOT: u32 = 4;
 /// Servers that a proxy spreads its requests over, at the least, where its limits add up to fewer slots.
@@ -181,9 +171,7 @@
     /// How long a connection may have rested and is still used, as of a point in time.
     rest: (f64, Micros),
     pool: Pool,
-    subscribe_failures: u32,
-    /// When discovery last told what it has.
-    fresh_at: Micros,
+    discovery: DiscoverySchedule,
     /// The processes that serve in this proxy's place: to the rules they are one proxy.
     processes: u32,
     /// The proxies that serve what this one serves; `None`: all that the settings count.
@@ -226,8 +214,7 @@
             retry_tokens: RETRY_BURST,
             rest: (settings.permissions.conn_idle as f64, now),
             pool: Pool { slots: 0.0, spread: 1.0, most: u32::MAX, judged_at: None },
-            subscribe_failures: 0,
-            fresh_at: now,
+            discovery: DiscoverySchedule::new(now),
             processes: 1,
             fleet: None,
             recalled: FxHashMap::default(),
@@ -257,6 +244,7 @@
             Event::Settings(settings) => self.on_settings(now, settings, out),
             Event::Company { processes } => self.processes = processes.max(1),
             Event::Fleet { proxies } => self.fleet = proxies,
+            Event::DiscoveryMoved => self.discovery.moved(now),
             Event::Probed { .. } => {}
             Event::Timer(token) => self.on_timer(now, token, out),
         }
@@ -379,18 +367,16 @@
             Membership::Full(entries) => (entries, true),
             Membership::Cached(entries) => {
                 if self.settings.discovery_on_request {
-                    // The proxies of a bank often start together; only what knows no server can't wait.
                     let can_wait = entries.iter().any(|e| e.readiness == Readiness::Ready);
-                    let turn = if can_wait { self.discovery_turn() } else { 0 };
-                    let after = self.rng.u64(0..=turn.min((TOLD - ANSWER) / 2));
+                    let balancers = self.settings.balancers;
+                    let after = self.discovery.first_call(balancers, can_wait, &mut self.rng);
                     out.push(Action::SetTimer { after, token: TIMER_SUBSCRIBE });
                 }
                 (entries, true)
             }
             Membership::Failed { silent } => return self.resubscribe(now, silent, out),
         };
-        // The first call of all comes in the turn of a second one.
-        (self.subscribe_failures, self.fresh_at) = (matches!(news, Membership::Cached(_)).into(), now);
+        self.discovery.told(now, matches!(news, Membership::Cached(_)));
         if complete {
             self.servers.iter_mut().for_each(|s| s.ready = false);
         }
@@ -476,27 +462,9 @@
         }
     }
 
-    /// The time in which discovery can answer each of the proxies once.
-    fn discovery_turn(&self) -> Micros {
-        Micros::from(self.settings.balancers) * DISCOVERY_TURN
-    }
-
-    /// A call failed or the watch broke: ask again, twice before changes count as told, then often enough
-    /// for one call in time once discovery is back. Failed calls cost it too, so a bank spreads them.
-    /// A watch that fell `silent` has taken its time, each proxy's another: it is opened anew at once.
     fn resubscribe(&mut self, now: Micros, silent: bool, out: &mut Vec<Action>) {
-        let (least, most) = DISCOVERY_PAUSE;
-        // What was silent may have been back since the call was made.
-        let most = most - if silent { OPEN_WITHIN } else { 0 };
-        let pause = (self.discovery_turn().max(least) << self.subscribe_failures.min(6)).min(most);
-        let left = (self.fresh_at + (TOLD - ANSWER)).saturating_sub(now);
-        let after = match self.subscribe_failures {
-            0 if silent => 0,
-            0 if left > 0 => self.rng.u64(0..=pause.min(left / 2)),
-            1 if left > 0 => self.rng.u64(0..=pause.min(left)),
-            _ => self.rng.u64(pause * 3 / 4..=pause),
-        };
-        self.subscribe_failures += 1;
+        let balancers = self.settings.balancers;
+        let after = self.discovery.pause_after_failure(now, silent, balancers, &mut self.rng);
         out.push(Action::SetTimer { after, token: TIMER_SUBSCRIBE });
     }
 
@@ -1196,7 +1164,10 @@
         let slot = (token >> 2) as usize;
         let held = self.open.get(slot).and_then(|o| o.held_until).is_some_and(|until| until <= now);
         match token & 3 {
-            TIMER_SUBSCRIBE => out.push(Action::Subscribe),
+            TIMER_SUBSCRIBE => {
+                self.discovery.asked(now);
+                out.push(Action::Subscribe);
+            }
             TIMER_HOLD if held => self.expire(now, slot, out),
             _ => {}
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod api;
 pub mod balancer;
 pub mod body_buffer;
+pub mod discovery_schedule;
 pub mod group;
 pub mod names;
 pub mod proxy;
--- a/src/proxy/discovery/mod.rs
+++ b/src/proxy/discovery/mod.rs
@@ -16,7 +16,7 @@
 use super::log;
 use super::view::ViewConfig;
 use crate::api::Readiness;
-use crate::balancer::{self, TOLD};
+use crate::discovery_schedule::{self, TOLD};
 use back_off::BackOff;
 use connection::{Connection, Wanted};
 use entries::RawList;
@@ -42,7 +42,7 @@
 /// How long the answer to a watch that goes on may take beyond its wait.
 const WATCH_GRACE: Duration = part_of_told(15);
 /// How long a call that opens a watch, and so does not wait, may take with its dial.
-const OPEN_WITHIN: Duration = Duration::from_micros(balancer::OPEN_WITHIN);
+const OPEN_WITHIN: Duration = Duration::from_micros(discovery_schedule::OPEN_WITHIN);
 /// How long a connection to an agent on this machine may take to come up: even with the pause after a failure, a
 /// drain that the agent has at its return is known before sends have to end (0.5 s).
 const AGENT_DIAL: Duration = Duration::from_millis(250);
@@ -197,6 +197,7 @@
     fn start_anew(&mut self) {
         (self.revision, self.logged) = (None, None);
         self.back_off.reset();
+        self.handle.tell(Message::DiscoveryMoved);
     }
 
     /// One answer, or the lack of it, and what follows from it.
--- a/src/proxy/driver.rs
+++ b/src/proxy/driver.rs
@@ -84,6 +84,8 @@
     Probed(BackendId, Ended),
     /// News of the backends.
     Listed(Scope, Vec<Listed>),
+    /// Discovery is asked anew, at another address or for another part of its list, and at once.
+    DiscoveryMoved,
     /// How many proxies serve the services of this one's view; `None`: all that the settings count.
     Fleet(Option<u32>),
     /// The operators take a backend out of use (true) or give it back; the word is sent once that is in force.
@@ -334,6 +336,7 @@
                 self.pending.push_back(Pending::Probed { backend, ended });
                 self.settle(now);
             }
+            Message::DiscoveryMoved => self.feed(now, Event::DiscoveryMoved),
             Message::Fleet(proxies) => self.feed(now, Event::Fleet { proxies }),
             Message::Listed(scope, entries) => self.on_list(now, scope, &entries),
             Message::Settings(settings, numbers) => {
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -1,6 +1,7 @@
 //! The proxy's program over loopback sockets: what must hold whatever backends and clients do.
 
 mod agent;
+mod crowded_discovery;
 mod customers;
 mod descriptors;
 mod endless_answers;
