Let a test's stand-in for the driver hear that discovery is asked anew

Change: the stand-in knows the message, and the test now also wants it, before the list: it checks more than it did.

--- a/tests/proxy/views.rs
+++ b/tests/proxy/views.rs
@@ -139,6 +139,7 @@
 /// What the driver is told of discovery.
 #[derive(Debug, PartialEq)]
 enum Told {
+    Moved,
     Fleet(Option<u32>),
     List(Scope, Vec<(Option<Senders>, Readiness)>),
 }
@@ -146,6 +147,7 @@
 fn told(message: Message) -> Told {
     let entry = |listed: &Listed| (listed.backend.senders, listed.backend.readiness);
     match message {
+        Message::DiscoveryMoved => Told::Moved,
         Message::Fleet(proxies) => Told::Fleet(proxies),
         Message::Listed(scope, entries) => Told::List(scope, entries.iter().map(entry).collect()),
         other => panic!("{other:?} is not of discovery"),
@@ -252,6 +254,7 @@
     watching.sources.send_replace(Source { view: None, ..source_at(&agent) });
     let whole = agent.next();
     assert_eq!(target(&whole), "/discovery/hosts");
+    assert_eq!(watching.next(), Told::Moved);
     whole.answer(&json!({"revision": 50, "complete": true, "members": []}));
     assert_eq!(watching.next(), Told::Fleet(None));
     assert_eq!(watching.next(), Told::List(Scope::Full, Vec::new()));
