Close the connections of clients that stop in a request before others wait for them

Cause: at its limit the proxy makes room only by closing connections that are idle. One with half a head is not, nor one whose body has stopped, and each kept its place for up to 2.75 s. Evidence: the late requests were answered 200 after 2.1 to 2.3 s, so they were read late and not lost in work.

Change: the connection whose client has been silent longest makes room, wherever its client owes the next bytes. None is closed below 0.1 s of silence; a body that stopped is answered 408. It works because what others wait for is taken back in each state in which only its client can go on. src/proxy/connections.rs takes this choice out of clients.rs, which had grown large, and the names of seats and shedding become those of connections and eviction.

--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -1,9 +1,12 @@
 //! The clients' side: the listener, requests in, answers out.
 
 use super::backends::Call;
-use super::bodies::{Answered, HeldMemory, Paced, Permit, Read, ReadError, RequestClock, Transfers, Upload};
+use super::bodies::{
+    Answered, Fault, HeldMemory, Paced, Permit, Read, ReadError, RequestClock, Transfers, Upload,
+};
 use super::clock::Clock;
 use super::config::{Config, Names};
+use super::connections::ConnectionTable;
 use super::drain::{Drain, Phase};
 use super::driver::{Answer, Handle, Inbound, Message};
 use super::event_log::{self, CloseReason, Event, RefusalReason};
@@ -21,7 +24,6 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::rt::TokioIo;
-use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
@@ -40,15 +42,13 @@
 /// late ones with a reset that destroys an answer on its way.
 const LINGER: Duration = Duration::from_millis(500);
 const LINGER_MOST: Duration = Duration::from_secs(3);
-/// One in this many connections, as many as may be open, is kept free for whoever comes: the longest idle close.
-const SHED_PART: usize = 8;
-/// Idle for less than this, a connection is not closed for others: who has just connected, or just had an answer,
-/// may have a request on its way.
-const SHED_AFTER: Duration = Duration::from_millis(100);
-/// The same in place of [`LINGER`] where others wait for the descriptor.
-const HURRIED: Duration = Duration::from_millis(100);
-/// How soon those that have become idle for long enough are looked for again, where too few are.
-const SHED_EVERY: Duration = Duration::from_millis(20);
+/// One in this many connections, as many as may be open, is kept free for whoever comes: the longest silent close.
+const KEPT_FREE_PART: usize = 8;
+/// The same where others wait for the descriptor.
+const LINGER_HURRIED: Duration = Duration::from_millis(100);
+const LINGER_MOST_HURRIED: Duration = Duration::from_secs(1);
+/// How soon those that have been silent for long enough are looked for again, where too few are.
+const EVICT_EVERY: Duration = Duration::from_millis(20);
 /// Requests in work leave this many connections at the least to others, so that `/up` is answered, and whoever else
 /// comes told to go elsewhere, also while every request hangs.
 const DOOR: usize = 4;
@@ -69,9 +69,7 @@
     most: Cell<usize>,
     open: Cell<usize>,
     freed: Notify,
-    /// The open connections, by a number of their own.
-    seats: RefCell<FxHashMap<u64, Rc<Seat>>>,
-    seated: Cell<u64>,
+    connections: ConnectionTable,
     /// Requests in work, each until its answer has been taken.
     in_work: Rc<Cell<usize>>,
     accepted_at: Cell<Instant>,
@@ -83,15 +81,6 @@
     short_of_memory: Seldom,
 }
 
-/// An open connection, as seen by whoever looks for one to close.
-struct Seat {
-    pace: Rc<Pace>,
-    /// Asks it to close if it is idle still.
-    leave: Notify,
-    /// It was asked, and has neither closed nor begun a request since.
-    leaving: Cell<bool>,
-}
-
 /// An answer on its way; once HTTP has taken the last of it, the next request may come.
 struct Sending {
     body: Answered,
@@ -155,8 +144,7 @@
             most: Cell::new(most),
             open: Cell::new(0),
             freed: Notify::new(),
-            seats: RefCell::default(),
-            seated: Cell::new(0),
+            connections: ConnectionTable::default(),
             in_work: Rc::default(),
             accepted_at: Cell::new(Instant::now()),
             ends_at: Cell::new(None),
@@ -230,37 +218,22 @@
         self.freed.notify_waiters();
     }
 
-    /// Has this many connections on their way out, those that have been idle longest; never one with a request.
-    /// Gives how many there are.
-    pub fn shed(&self, wanted: usize) -> usize {
-        let seats = self.seats.borrow();
-        let leaving = seats.values().filter(|seat| seat.leaving.get()).count();
-        if wanted <= leaving {
-            return leaving;
-        }
-        let staying = seats.values().filter(|seat| !seat.leaving.get());
-        let idle = staying.filter_map(|seat| Some((seat.pace.idle_since()?, seat)));
-        let mut idle: Vec<_> = idle.filter(|(since, _)| since.elapsed() >= SHED_AFTER).collect();
-        idle.sort_unstable_by_key(|(since, _)| *since);
-        // What the socket holds is asked only of those that would be next.
-        let quiet = idle.into_iter().filter(|(_, seat)| !seat.pace.has_unread());
-        let asked = quiet.take(wanted - leaving).map(|(_, seat)| {
-            seat.leaving.set(true);
-            seat.leave.notify_one();
-        });
-        leaving + asked.count()
+    /// Has this many connections on their way out, those whose clients have been silent longest; never one whose
+    /// request has come whole. Gives how many there are.
+    pub fn evict(&self, wanted: usize) -> usize {
+        self.connections.evict(wanted)
     }
 
     /// How many connections take up the part that is kept free for whoever comes.
     fn over(&self) -> usize {
         let most = self.most.get();
-        (self.open.get() + (most / SHED_PART).max(1)).saturating_sub(most)
+        (self.open.get() + (most / KEPT_FREE_PART).max(1)).saturating_sub(most)
     }
 
-    /// Sheds what is over; false where too few are idle for long enough.
+    /// Evicts what is over; false where too few have been silent for long enough.
     fn keep_some_free(&self) -> bool {
         let over = self.over();
-        self.shed(over) >= over
+        self.evict(over) >= over
     }
 
     /// Time since a client last connected.
@@ -282,7 +255,7 @@
             // Beyond the cap clients wait in the kernel's queue instead of taking the backends' descriptors.
             // Connections that clients keep without using them would hold those up for long: some are closed.
             // Whoever is on the way out has gone by the end of the longest wait.
-            let look_again = if self.keep_some_free() { LINGER_MOST } else { SHED_EVERY };
+            let look_again = if self.keep_some_free() { LINGER_MOST } else { EVICT_EVERY };
             if self.open.get() >= self.most.get() {
                 let _ = timeout(look_again, self.freed.notified()).await;
                 continue;
@@ -316,9 +289,7 @@
         let wire = Wire::new(stream, None);
         let pace = Pace::new(Rc::clone(&wire));
         let at = Rc::clone(&pace);
-        let seat = Rc::new(Seat { pace: Rc::clone(&pace), leave: Notify::new(), leaving: Cell::new(false) });
-        let number = self.seated.replace(self.seated.get() + 1);
-        self.seats.borrow_mut().insert(number, Rc::clone(&seat));
+        let (number, open) = self.connections.insert(Rc::clone(&pace));
         let service = service_fn(move |request: Request<Incoming>| -> Pin<Box<dyn Future<Output = _>>> {
             let (clients, pace) = (Rc::clone(&clients), Rc::clone(&at));
             let is_old = request.version() < Version::HTTP_11;
@@ -390,23 +361,28 @@
                         Pin::new(&mut conn).graceful_shutdown();
                     }
                 }
-                () = seat.leave.notified() => {
-                    // A request may have come since it was asked.
-                    if pace.idle_since().is_some() && !pace.has_unread() {
-                        break Some(CloseReason::MakesRoom);
+                () = open.asked_to_close() => {
+                    if open.makes_room() {
+                        if !pace.reads_body() {
+                            break Some(CloseReason::MakesRoom);
+                        }
+                        // Its request is answered as one whose body is late.
+                        pace.cut_body();
                     }
-                    seat.leaving.set(false);
                 }
             }
         };
         if let Some(reason) = closed {
             event_log::record(&Event::Closed { peer, reason });
         }
-        if !pace.resets() {
-            let silence = if self.over() > 0 { HURRIED } else { LINGER };
-            linger(conn.into_parts().io.into_inner(), silence).await;
+        // Nothing is on its way to a client that stopped in a head.
+        let has_stopped = closed == Some(CloseReason::MakesRoom) && pace.is_in_head();
+        if !pace.resets() && !has_stopped {
+            let (silence, most) =
+                if self.over() > 0 { (LINGER_HURRIED, LINGER_MOST_HURRIED) } else { (LINGER, LINGER_MOST) };
+            linger(conn.into_parts().io.into_inner(), silence, most).await;
         }
-        self.seats.borrow_mut().remove(&number);
+        self.connections.remove(number);
         self.open.set(self.open.get() - 1);
         self.freed.notify_waiters();
     }
@@ -422,7 +398,7 @@
         let memory = self.transfers.memory();
         let is_short = !is_up && memory.is_short();
         let _reserved = memory.reserve(head_memory(request.headers()));
-        let has_room = !is_up && self.in_work.get() < most - DOOR.max(most / SHED_PART).min(most / 4);
+        let has_room = !is_up && self.in_work.get() < most - DOOR.max(most / KEPT_FREE_PART).min(most / 4);
         let in_work = has_room.then(|| Counted::new(&self.in_work));
         let mut response = if is_up {
             self.up()
@@ -540,7 +516,7 @@
         let taken = match checked {
             Ok((request, effect)) => {
                 let body = Paced::new(body, body_within, RequestClock::new(pace.wire()));
-                self.take_body(request, body).await.map(|taken| (taken, effect))
+                self.take_body(request, body, pace).await.map(|taken| (taken, effect))
             }
             Err(rejected) => Err(rejected),
         };
@@ -557,12 +533,16 @@
         &self,
         mut request: crate::api::Request,
         body: Paced,
+        pace: &Pace,
     ) -> Result<(crate::api::Request, Bytes, Option<Rc<Upload>>), Rejected> {
+        let reading = pace.read_body();
         let read = tokio::select! {
             biased;
             read = body.read(self.held_memory.clone(), self.transfers.memory()) => read,
+            () = pace.body_cut() => Err(ReadError::Fault(Fault::Late)),
             () = self.ending() => return Err(self.refused(RefusalReason::Ending)),
         };
+        drop(reading);
         let read = read.map_err(|error| match error {
             ReadError::Fault(fault) => Rejected::from(fault),
             ReadError::OutOfMemory(reason) => {
@@ -609,11 +589,11 @@
 }
 
 /// Ends the sending side and reads what still comes, for a while.
-async fn linger(mut stream: WireIo, silence: Duration) {
+async fn linger(mut stream: WireIo, silence: Duration, most: Duration) {
     if stream.shutdown().await.is_err() {
         return;
     }
-    let _ = timeout(LINGER_MOST, async {
+    let _ = timeout(most, async {
         let mut buffer = [0; 2_048];
         while let Ok(Ok(1..)) = timeout(silence, stream.read(&mut buffer)).await {}
     })
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -7,6 +7,7 @@
 pub mod clients;
 pub mod clock;
 pub mod config;
+mod connections;
 pub mod discovery;
 pub mod drain;
 pub mod driver;
--- a/src/proxy/pace.rs
+++ b/src/proxy/pace.rs
@@ -7,6 +7,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// How long a connection may stay idle.
@@ -15,6 +16,8 @@
 const IDLE_AWAY: Duration = Duration::from_millis(700);
 /// How long a request's head may take from its first byte on. An honest client on a bad line takes two seconds.
 const HEAD: Duration = Duration::from_millis(2_600);
+/// How long a head may come in pieces and not count as silence, where others need the connection.
+const HEAD_IN_PIECES: Duration = Duration::from_secs(1);
 /// How long after it connected a client must have sent its first head, and how long the bytes of a body may stay
 /// away: anybody may connect, and who sends no proper request has to be rid of within three seconds.
 const FIRST: Duration = Duration::from_millis(2_750);
@@ -49,6 +52,21 @@
     upload: RefCell<Option<Rc<Upload>>>,
     /// Its end has to be a reset.
     resets: Cell<bool>,
+    /// The body of its request is read up to what is held.
+    reads_body: Cell<bool>,
+    /// Others need the connection: its body is waited for no longer.
+    body_cut: Notify,
+    /// Others need the connection, and its client has not gone on since.
+    closing: Cell<bool>,
+}
+
+/// A request's body is read as long as this is held.
+pub struct ReadingBody<'a>(&'a Pace);
+
+impl Drop for ReadingBody<'_> {
+    fn drop(&mut self) {
+        self.0.reads_body.set(false);
+    }
 }
 
 /// A client waits for its answer as long as this is held.
@@ -66,21 +84,64 @@
     #[must_use]
     pub fn new(wire: Rc<Wire>) -> Rc<Self> {
         let now = Instant::now();
-        let (resets, first, at, asking) =
-            (Cell::new(false), Cell::new(true), Cell::new(At::Idle(now, 0)), Cell::new(false));
-        let upload = RefCell::new(None);
-        Rc::new(Self { wire, connected: now, first, at, asking, upload, resets })
+        Rc::new(Self {
+            wire,
+            connected: now,
+            first: Cell::new(true),
+            at: Cell::new(At::Idle(now, 0)),
+            asking: Cell::default(),
+            upload: RefCell::default(),
+            resets: Cell::default(),
+            reads_body: Cell::default(),
+            body_cut: Notify::new(),
+            closing: Cell::default(),
+        })
     }
 
     /// A request's head has come. Gives the time that its body may take to begin.
     pub fn request(&self) -> Duration {
         self.at.set(At::Request);
+        self.closing.set(false);
         if self.first.replace(false) {
             return FIRST.saturating_sub(self.connected.elapsed()).max(BODY_LEAST);
         }
         BODY
     }
 
+    /// The body of the request is read from now on.
+    #[must_use]
+    pub fn read_body(&self) -> ReadingBody<'_> {
+        self.reads_body.set(true);
+        ReadingBody(self)
+    }
+
+    /// Whether the body of a request is read just now.
+    #[must_use]
+    pub fn reads_body(&self) -> bool {
+        self.reads_body.get()
+    }
+
+    /// A body that is read now is waited for no longer.
+    pub fn cut_body(&self) {
+        self.body_cut.notify_waiters();
+    }
+
+    /// Waits until the body of a request is not waited for any longer.
+    pub async fn body_cut(&self) {
+        self.body_cut.notified().await;
+    }
+
+    /// Whether others need the connection, and its client has not gone on since.
+    #[must_use]
+    pub fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
+    /// Others need the connection, or its client has gone on.
+    pub fn set_closing(&self, closing: bool) {
+        self.closing.set(closing);
+    }
+
     /// From now on the client waits. What it sends meanwhile is read ahead, a large body until it begins to go out.
     #[must_use]
     pub fn ask(&self, upload: Option<Rc<Upload>>) -> Asking<'_> {
@@ -137,23 +198,33 @@
         self.resets.get()
     }
 
-    /// Whether the socket holds the beginning of a request that is not read yet.
+    /// Whether the socket holds more of a request than is read yet.
     #[must_use]
     pub fn has_unread(&self) -> bool {
-        !matches!(self.at.get(), At::Request) && !self.wire.is_quiet()
+        let is_in_work = matches!(self.at.get(), At::Request) && !self.reads_body.get();
+        !is_in_work && !self.wire.is_quiet()
     }
 
-    /// Since when it has been idle; `None` while it is at anything, the rest of an answer for one.
+    /// Since when its client has sent nothing although it may; `None` while it is at anything else, the rest of an answer
+    /// for one. A head that comes in pieces is silence as well once it has done so for too long.
     #[must_use]
-    pub fn idle_since(&self) -> Option<Instant> {
+    pub fn silent_since(&self) -> Option<Instant> {
         match self.at.get() {
             At::Idle(since, read) if self.wire.read() == read => {
                 self.wire.blocked_since().is_none().then_some(since)
             }
-            _ => None,
+            At::Head(since, _) => Some(self.wire.last_read().min(since + HEAD_IN_PIECES)),
+            At::Request if self.reads_body.get() => Some(self.wire.last_read()),
+            At::Idle(..) | At::Request => None,
         }
     }
 
+    /// Whether it holds a request's beginning and nothing that is on its way to the client.
+    #[must_use]
+    pub fn is_in_head(&self) -> bool {
+        matches!(self.at.get(), At::Head(..))
+    }
+
     /// Whether it can be told to close once it is idle, so that the close crosses nothing this machine has already:
     /// neither a head that is coming nor the first request of a client that has just connected.
     #[must_use]
--- a/src/proxy/program.rs
+++ b/src/proxy/program.rs
@@ -200,8 +200,8 @@
     };
     tokio::task::spawn_local(Rc::clone(&fleet).sweep());
     keeper.iter().for_each(|keeper| _ = tokio::task::spawn_local(Rc::clone(keeper).keep()));
-    let (pool, seated) = (Rc::clone(&fleet), Rc::clone(&clients));
-    let spare: Spare = Rc::new(move || pool.close_oldest() || seated.shed(1) > 0);
+    let (pool, accepting) = (Rc::clone(&fleet), Rc::clone(&clients));
+    let spare: Spare = Rc::new(move || pool.close_oldest() || accepting.evict(1) > 0);
     let accept = tokio::task::spawn_local(Rc::clone(&clients).accept(listener, Rc::clone(&spare)));
     if let Some(operations) = &operations {
         tokio::task::spawn_local(Rc::clone(operations).watch_bans());
--- a/src/proxy/socket.rs
+++ b/src/proxy/socket.rs
@@ -44,6 +44,8 @@
     _counted: Option<Counted>,
     written: Cell<u64>,
     read: Cell<u64>,
+    /// When it last gave bytes, or came up.
+    last_read: Cell<Instant>,
     /// Since when the peer takes nothing more; `None`: it does.
     blocked_since: Cell<Option<Instant>>,
     /// What it had taken when it last gave bytes.
@@ -59,11 +61,13 @@
     #[must_use]
     pub fn new(stream: TcpStream, counted: Option<Counted>) -> Rc<Self> {
         let (written, read, blocked_since, written_at_read, begins, ahead) = Default::default();
+        let last_read = Cell::new(Instant::now());
         Rc::new(Self {
             stream,
             _counted: counted,
             written,
             read,
+            last_read,
             blocked_since,
             written_at_read,
             begins,
@@ -83,6 +87,12 @@
         self.read.get()
     }
 
+    /// When it last gave bytes, or came up.
+    #[must_use]
+    pub fn last_read(&self) -> Instant {
+        self.last_read.get()
+    }
+
     /// Bytes that it had taken when it last gave any.
     #[must_use]
     pub fn written_at_read(&self) -> u64 {
@@ -162,6 +172,7 @@
 
     fn has_given(&self, bytes: usize) {
         self.read.set(self.read.get() + bytes as u64);
+        self.last_read.set(Instant::now());
         self.written_at_read.set(self.written.get());
     }
 
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -19,6 +19,7 @@
 mod sizes;
 mod slow_servers;
 mod small_chunks;
+mod stalled_clients;
 mod tenants;
 mod transfers;
 mod views;
