Refuse the second of two machines with one identity by name, and keep it from clients

Need: the consensus knows members by their identity alone. Two machines with one, as after a disk was copied, were taken for one member: a group of two was made of three machines, and the other one took clients without the group's bans. Nothing said so.

Cause: what a peer's address says of its identity was never compared with other names.

Change: Peers::is_alone compares it with the members, this machine's own identity and what other addresses say. The second one's calls are refused, no change of members and no new group counts it, and log and /group/status name both and say what to do. The refused machine takes no clients until it is mended; once mended it is taken in.

Two machines on copies of one disk under one *name* are not told apart by this.

--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -17,6 +17,7 @@
 mod disk;
 mod election;
 mod events;
+mod identities;
 mod node;
 mod peers;
 mod propose;
@@ -143,6 +144,7 @@
     asked: mpsc::Sender<Asked>,
     bans: watch::Receiver<Arc<Bans>>,
     status: watch::Receiver<Status>,
+    conflict: watch::Receiver<Option<String>>,
     name: Arc<str>,
     copy: watch::Sender<Option<Bytes>>,
     looks: mpsc::Sender<Look>,
@@ -198,6 +200,12 @@
         self.bans.clone()
     }
 
+    /// What stands against this machine as a member, if anything does: its identity is another one's.
+    #[must_use]
+    pub fn conflict(&self) -> watch::Receiver<Option<String>> {
+        self.conflict.clone()
+    }
+
     /// How this machine stands, as it changes.
     #[must_use]
     pub fn status(&self) -> watch::Receiver<Status> {
@@ -214,6 +222,7 @@
     asked: mpsc::Receiver<Asked>,
     bans: watch::Sender<Arc<Bans>>,
     status: watch::Sender<Status>,
+    conflict: watch::Sender<Option<String>>,
     copy: watch::Receiver<Option<Bytes>>,
     looks: mpsc::Receiver<Look>,
 }
@@ -227,6 +236,7 @@
     let (asked, calls) = mpsc::channel(CALLS);
     let (bans, told) = watch::channel(Arc::default());
     let (status, stands) = watch::channel(Status { state: "waiting".to_owned(), ..Status::default() });
+    let (conflict, conflicts) = watch::channel(None);
     let (copy, copied) = watch::channel(None);
     let (looks, looked) = mpsc::channel(1);
     let keepers = config.keepers().into();
@@ -237,7 +247,7 @@
     let name = config.node.get_ref().as_str().into();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(GroupError::Thread)?;
-    let ends = Ends { asked: calls, bans, status, copy: copied, looks: looked };
+    let ends = Ends { asked: calls, bans, status, conflict, copy: copied, looks: looked };
     let run = move || {
         let node = config.node.get_ref().clone();
         if let Err(error) = runtime.block_on(run(config, ready, ends)) {
@@ -245,7 +255,7 @@
         }
     };
     thread::Builder::new().name("group".to_owned()).spawn(run).map_err(GroupError::Thread)?;
-    Ok(Group { asked, bans: told, status: stands, name, copy, looks, keepers })
+    Ok(Group { asked, bans: told, status: stands, conflict: conflicts, name, copy, looks, keepers })
 }
 
 /// The folder and the listener, which only one process has at a time.
@@ -320,7 +330,7 @@
     let Opened { disk, identity, state } = opened;
     let node = config.node.get_ref().clone();
     let mine = Mine { group: config.name.get_ref().clone(), node: node.clone(), identity };
-    let peers = Arc::new(Peers::new(&config, mine));
+    let peers = Arc::new(Peers::new(&config, mine, ends.conflict));
     let floor = disk.with_entries(|entries| state.at_worst(entries.values()));
     let teller = Arc::new(Teller::new(ends.bans, floor));
     let state = Shared::new(state);
--- a/src/group/node.rs
+++ b/src/group/node.rs
@@ -100,9 +100,7 @@
     /// Whether the caller of that name is who it says.
     pub(super) async fn verify(&self, name: &str, identity: u64) -> Result<(), Refusal> {
         let members = self.members();
-        if self.peers.verify(name, identity, members.get(&identity).is_some_and(|n| n == name)).await?
-            || !members.contains_key(&identity)
-        {
+        if self.peers.verify(name, identity, &members).await? || !members.contains_key(&identity) {
             self.news.notify_one();
         }
         Ok(())
@@ -136,6 +134,7 @@
                     self.teller.tell(held, true);
                     // What this machine has applied may be later still.
                     self.teller.tell(self.state.held(), true);
+                    self.peers.conflicts.settle_here();
                     say(&json!({"event": "group_ready", "node": self.name(), "index": index}));
                     return;
                 }
@@ -198,15 +197,15 @@
         let bans: Bans = (**self.teller.watch().borrow()).clone();
         json!({"group": mine.group, "node": mine.node, "identity": hex(mine.identity), "format": FORMAT,
                "status": *self.status.borrow(), "bans": bans.banned, "bans_index": bans.index,
-               "bans_known": bans.known, "keepers": self.config.keepers(), "copies": self.kept.report()})
+               "bans_known": bans.known, "conflicts": self.peers.conflicts.report(), "keepers": self.config.keepers(), "copies": self.kept.report()})
     }
 
     /// Asks these machines who they are, all at once.
     async fn hellos(&self, names: impl IntoIterator<Item = String>) -> BTreeMap<String, Hello> {
-        let mut asked = JoinSet::new();
+        let (mut asked, members) = (JoinSet::new(), Arc::new(self.members()));
         for name in names.into_iter().filter(|name| name != self.name()) {
-            let peers = Arc::clone(&self.peers);
-            asked.spawn(async move { (peers.hello(&name, ASK_WITHIN).await, name) });
+            let (peers, members) = (Arc::clone(&self.peers), Arc::clone(&members));
+            asked.spawn(async move { (peers.hello(&name, &members, ASK_WITHIN).await, name) });
         }
         let mut said = BTreeMap::new();
         while let Some(answer) = asked.join_next().await {
--- a/src/group/peers.rs
+++ b/src/group/peers.rs
@@ -3,6 +3,7 @@
 use super::config::GroupConfig;
 use super::election::Patience;
 use super::events::say;
+use super::identities::{self, Conflicts};
 use super::types::{LogId, Raft, Snapshot, Types, Vote};
 use crate::body_buffer::collect;
 use bytes::Bytes;
@@ -25,7 +26,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use thiserror::Error;
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 use tokio::time::{Instant, timeout};
 
 /// The format of the calls between machines: header, paths and bodies.
@@ -85,6 +86,12 @@
     Busy,
     #[error("the group's part of this machine has stopped: {0}")]
     Stopped(String),
+    #[error(
+        "two machines have identity {identity}, `{first}` and `{second}`: stop {}, move its `state_dir` away \
+         and start it on an empty one",
+        identities::wrong_one(second, *first_is_member)
+    )]
+    SameIdentity { identity: String, first: String, second: String, first_is_member: bool },
 }
 
 impl Refusal {
@@ -96,6 +103,7 @@
                 | Self::OtherFormat { .. }
                 | Self::UnknownNode { .. }
                 | Self::TwoNodes { .. }
+                | Self::SameIdentity { .. }
         )
     }
 
@@ -106,7 +114,10 @@
 
     pub(super) fn status(&self) -> StatusCode {
         match self {
-            Self::OtherGroup { .. } | Self::TwoNodes { .. } | Self::NotMe { .. } => StatusCode::CONFLICT,
+            Self::OtherGroup { .. }
+            | Self::TwoNodes { .. }
+            | Self::NotMe { .. }
+            | Self::SameIdentity { .. } => StatusCode::CONFLICT,
             Self::OtherFormat { .. } | Self::Malformed(_) => StatusCode::BAD_REQUEST,
             Self::UnknownNode { .. } => StatusCode::FORBIDDEN,
             Self::NotLeader { .. } => StatusCode::MISDIRECTED_REQUEST,
@@ -187,6 +198,7 @@
     book: BTreeMap<String, Peer>,
     /// The refusals that were said already.
     refusals: Mutex<BTreeSet<String>>,
+    pub conflicts: Conflicts,
 }
 
 pub(super) fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, PeerError> {
@@ -198,7 +210,8 @@
 }
 
 impl Peers {
-    pub(super) fn new(config: &GroupConfig, mine: Mine) -> Self {
+    /// `conflict`: what stands against this machine itself.
+    pub(super) fn new(config: &GroupConfig, mine: Mine, conflict: watch::Sender<Option<String>>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_WITHIN));
@@ -207,12 +220,14 @@
             .pool_max_idle_per_host(SLOTS)
             .build(connector);
         let book = config.peers.iter().map(|p| (p.name.get_ref().clone(), Peer::at(p.address))).collect();
-        Self { mine, client, book, refusals: Mutex::default() }
+        let conflicts = Conflicts::new(&mine.node, conflict);
+        Self { mine, client, book, refusals: Mutex::default(), conflicts }
     }
 
     /// The same for a process that waits until the one which it replaces ends: that one is called like a peer.
     pub(super) fn beside(config: &GroupConfig, mine: Mine) -> Self {
-        let mut peers = Self::new(config, mine);
+        // What stands against the other process is that one's to say.
+        let mut peers = Self::new(config, mine, watch::channel(None).0);
         peers.book.insert(peers.mine.node.clone(), Peer::at(config.listen));
         peers
     }
@@ -227,6 +242,11 @@
         if !refusal.wants_mending() {
             return;
         }
+        if let Refusal::SameIdentity { second, first_is_member, .. } = refusal
+            && *second == self.mine.node
+        {
+            self.conflicts.refused_here(refusal, *first_is_member);
+        }
         let (mut said, why) =
             (self.refusals.lock().unwrap_or_else(PoisonError::into_inner), refusal.to_string());
         if said.len() < MOST_REFUSALS && said.insert(format!("{by}: {why}")) {
@@ -289,38 +309,86 @@
         decode(&self.post(name, to, path, encode(question)?, within).await?)
     }
 
-    /// Asks a peer who it is.
-    pub(super) async fn hello(&self, name: &str, within: Duration) -> Result<Hello, PeerError> {
+    /// Asks a peer who it is. `members` are those that the group knows.
+    pub(super) async fn hello(
+        &self,
+        name: &str,
+        members: &BTreeMap<u64, String>,
+        within: Duration,
+    ) -> Result<Hello, PeerError> {
         let hello: Hello = self.ask(name, None, "/group/hello", &(), within).await?;
+        self.is_alone(name, hello.identity, members).map_err(PeerError::Refused)?;
         if let Some(peer) = self.book.get(name) {
             peer.seen().is(hello.identity);
         }
         Ok(hello)
     }
 
+    /// Whether no other machine has the identity that this one's address says it has. `members` are those that the group
+    /// knows.
+    ///
+    /// # Errors
+    /// The refusal of the second one.
+    fn is_alone(&self, name: &str, identity: u64, members: &BTreeMap<u64, String>) -> Result<(), Refusal> {
+        let member = members.get(&identity);
+        let other = match member {
+            Some(member) => (member != name).then_some(member.as_str()),
+            None if self.mine.identity == identity => Some(self.mine.node.as_str()),
+            None => self.seen_elsewhere(name, identity),
+        };
+        let Some(other) = other else {
+            self.conflicts.settle(name);
+            return Ok(());
+        };
+        let refusal = Refusal::SameIdentity {
+            identity: hex(identity),
+            first: other.to_owned(),
+            second: name.to_owned(),
+            first_is_member: member.is_some(),
+        };
+        self.conflicts.refuse(name, &refusal);
+        if member.is_none() && other == self.mine.node {
+            self.conflicts.refused_here(&refusal, false);
+        }
+        Err(refusal)
+    }
+
+    /// Another peer at whose address this identity last answered.
+    fn seen_elsewhere(&self, name: &str, identity: u64) -> Option<&str> {
+        let has_it =
+            |(other, peer): &(&String, &Peer)| *other != name && peer.seen().identity == Some(identity);
+        self.book.iter().find(has_it).map(|(other, _)| other.as_str())
+    }
+
     /// The identity that last answered at a peer's address.
     pub(super) fn seen(&self, name: &str) -> Option<u64> {
         self.book.get(name)?.seen().identity
     }
 
-    /// Whether a call that names itself as a peer's is that peer's: what its address says decides. `member`: the
-    /// group knows this identity under that name, which does while the address can't be asked. True where the
-    /// identity is news.
-    pub(super) async fn verify(&self, name: &str, caller: u64, member: bool) -> Result<bool, Refusal> {
+    /// Whether a call that names itself as a peer's is that peer's: what its address says decides. `members` are those
+    /// that the group knows: that does while the address can't be asked. True where the identity is news.
+    pub(super) async fn verify(
+        &self,
+        name: &str,
+        caller: u64,
+        members: &BTreeMap<u64, String>,
+    ) -> Result<bool, Refusal> {
         if name == self.mine.node && caller == self.mine.identity {
             // The process that is to replace this one.
             return Ok(false);
         }
         let unknown = || Refusal::UnknownNode { node: name.to_owned() };
         let peer = self.book.get(name).ok_or_else(unknown)?;
+        let member = members.get(&caller).is_some_and(|known_as| known_as == name);
         let Seen { identity: seen, asked, .. } = *peer.seen();
         if seen == Some(caller) {
-            return Ok(false);
+            return self.is_alone(name, caller, members).map(|()| false);
         }
         // Somebody who only says so may not make this machine ask all the time.
         if asked.is_none_or(|asked| asked.elapsed() > FRESH_FOR) {
             *peer.seen() = Seen { identity: seen, asked: Some(Instant::now()), answered: false };
             if let Ok(identity) = self.hello_unnamed(peer).await {
+                self.is_alone(name, identity, members)?;
                 peer.seen().is(identity);
             }
         }
--- a/src/proxy/admin.rs
+++ b/src/proxy/admin.rs
@@ -211,11 +211,21 @@
     }
 
     /// Waits until the group's bans are known and in force, but not for long: a proxy that nobody can tell still
-    /// serves, on the bans that it has itself.
+    /// serves, on the bans that it has itself. One that the group refuses, for another machine has its identity, takes no
+    /// clients until that is mended.
     pub async fn wait_for_group(&self) {
         let Some(group) = &self.group else { return };
         let mut agreed = group.bans();
         let known = timeout(KNOWN_WITHIN, agreed.wait_for(|bans| bans.known)).await.is_ok();
+        let refused = group.conflict().borrow().clone();
+        if let Some(why) = refused.filter(|_| !known) {
+            let event = json!({"event": "group_conflict", "node": group.name(), "why": why,
+                               "do": "no clients are taken until that is done"});
+            log(format_args!("{event}"));
+            // The group's part of the process lives as long as it does.
+            let _ = agreed.wait_for(|bans| bans.known).await;
+            return self.follow();
+        }
         self.follow();
         if !known {
             let event = json!({"event": "group_unknown", "node": group.name(),
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -7,9 +7,10 @@
 
 use haventrack::group::{COPY_CAP, Copied};
 use haventrack::proxy::handover::{STATE_VERSION, SavedState};
-use haventrack::store::PUBLISH_SYNCED;
+use haventrack::store::{PUBLISH_SYNCED, Store};
 use hdrhistogram::Histogram;
 use rig::{Backend, Discovery, PATIENCE, entry, ok, read_message, request};
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 use std::io::{BufReader, Read, Write};
@@ -879,3 +880,97 @@
     }
     println!("{starts} starts: a group of three each time, no identity twice in one");
 }
+
+/// What is stored of a machine's identity.
+#[derive(Serialize, Deserialize)]
+struct StoredIdentity {
+    group: String,
+    node: String,
+    identity: u64,
+    whole: bool,
+}
+
+/// Gives a machine that does not run an empty disk with this identity.
+fn give_identity(machine: &Machine, me: usize, identity: u64) {
+    let state = machine.home.join("state");
+    let _ = fs::remove_dir_all(&state);
+    let store = Store::new(&state, "identity", 1).expect("a folder");
+    let (group, node) = ("region-a".to_owned(), format!("p-{me}"));
+    store.write(&StoredIdentity { group, node, identity, whole: false }, 0).expect("it is stored");
+}
+
+/// What a machine says of machines that share an identity, once it says anything.
+fn conflicts(machine: &Machine) -> String {
+    wait_for("it says which machines share an identity", || {
+        let conflicts = machine.status()?["conflicts"].as_array()?.clone();
+        Some(conflicts.first()?.as_str()?.to_owned())
+    })
+}
+
+/// Longer than a proxy waits for a group whose voters are gone.
+const TAKES_NO_CLIENTS: Duration = Duration::from_millis(4_500);
+
+fn stays_down(machines: &[&Machine]) {
+    let end = Instant::now() + TAKES_NO_CLIENTS;
+    while Instant::now() < end {
+        machines
+            .iter()
+            .for_each(|machine| assert!(!machine.is_up(), "{} takes clients", machine.home.display()));
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn is_whole(three: &Three) {
+    wait_for("a group of three", || {
+        let names = json!(["p-0", "p-1", "p-2"]);
+        let is_settled = |machine: &Machine| machine.status().is_some_and(|s| s["status"]["voters"] == names);
+        (three.machines.iter().all(is_settled) && three.machines.iter().all(Machine::is_up)).then_some(())
+    });
+}
+
+/// The group was made with two members, and the third machine sent to banned backends.
+#[test]
+fn no_group_is_made_of_two_machines_with_one_identity() {
+    let mut three = Three::prepare("one-identity");
+    (1..3).for_each(|me| give_identity(&three.machines[me], me, 0x5c0f_6e1a));
+    three.machines.iter_mut().for_each(Machine::start);
+    let said = conflicts(&three.machines[0]);
+    let words = ["`p-1`", "`p-2`", "000000005c0f6e1a", "`state_dir`"];
+    assert!(words.iter().all(|word| said.contains(word)), "{said}");
+    wait_for("the log says so", || (!three.machines[0].events("identity_refused").is_empty()).then_some(()));
+    stays_down(&[&three.machines[1], &three.machines[2]]);
+    assert!(three.machines[0].call("maint-on b-1").starts_with("400 "));
+    three.machines[2].lose_disk();
+    three.machines[2].start();
+    is_whole(&three);
+    three.machines[0].yes("maint-on b-1");
+    three.all_hold(&["b-1"]);
+}
+
+/// A machine with another one's identity was counted as that one, and told a yes that it did not follow.
+#[test]
+fn a_machine_that_comes_with_anothers_identity_is_refused_by_name_and_takes_no_clients() {
+    let mut three = Three::start("copied-identity");
+    let first = (three.leader() + 1) % 3;
+    let second = (first + 1) % 3;
+    let identity = three.machines[first].status().expect("a status")["identity"].clone();
+    let identity = u64::from_str_radix(identity.as_str().expect("text"), 16).expect("a number");
+    three.machines[second].lose_disk();
+    give_identity(&three.machines[second], second, identity);
+    three.machines[first].yes("maint-on b-1");
+    three.machines[second].start();
+    let leader = three.leader_of(&[first, 3 - first - second]);
+    let said = conflicts(&three.machines[leader]);
+    assert!(said.contains(&format!("stop `p-{second}`")), "{said}");
+    assert!(conflicts(&three.machines[second]).contains(&format!("`p-{first}`")));
+    stays_down(&[&three.machines[second]]);
+    wait_for("its log says so", || {
+        (!three.machines[second].events("group_conflict").is_empty()).then_some(())
+    });
+    assert!(three.machines[first].is_up() && three.machines[leader].is_up());
+    three.machines[first].yes("maint-on b-2");
+    three.machines[second].lose_disk();
+    three.machines[second].start();
+    is_whole(&three);
+    three.all_hold(&["b-1", "b-2"]);
+}
