Refuse a machine that runs on a copy of a member's disk under its name

Need: two machines on copies of one state_dir, of one name, differ in nothing that is stored. Peers that were called by the copy asked the original's address, found the identity right and took the copy for the member: it could stand for election in terms in which the original had voted, and took clients beside it.

Cause: an identity tells a disk, and nothing told two processes on copies of it.

Change: each start draws a number and names it in its calls. Where it is not the one that a peer knows of the member, that member's address is asked, and only the process that answers there is let in; the other one is refused, said in log and status, and takes no clients. Nobody says that there are two on what was asked earlier, for the member may have been started again. A process that waits for the one that it replaces names no number. The format of the calls stays; versions without the number are treated as before.

--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -32,7 +32,7 @@
 pub use types::Promise;
 
 use crate::store::{LogError, WriteError};
-use crate::system_random::RandomError;
+use crate::system_random::{self, RandomError};
 use bans::{Applier, Shared, Teller};
 use bytes::Bytes;
 use copies::Look;
@@ -275,7 +275,8 @@
     say(&json!({"event": "group_waits", "node": node, "why": "another process has `state_dir`",
                 "do": "nothing, if that is the process which this one replaces; else end it"}));
     let voters = Arc::new(config.voters.get_ref().clone());
-    let mine = |identity| Mine { group: config.name.get_ref().clone(), node: node.clone(), identity };
+    let group = config.name.get_ref();
+    let mine = |identity| Mine { group: group.clone(), node: node.clone(), identity, start: None };
     let peers = disk::identity_beside(&config.state_dir).map(|id| Arc::new(Peers::beside(config, mine(id))));
     loop {
         match open(config) {
@@ -329,7 +330,8 @@
     let listener = listener.map_err(|source| GroupError::Listen { address: config.listen, source })?;
     let Opened { disk, identity, state } = opened;
     let node = config.node.get_ref().clone();
-    let mine = Mine { group: config.name.get_ref().clone(), node: node.clone(), identity };
+    let start = Some(system_random::draw()?);
+    let mine = Mine { group: config.name.get_ref().clone(), node: node.clone(), identity, start };
     let peers = Arc::new(Peers::new(&config, mine, ends.conflict));
     let floor = disk.with_entries(|entries| state.at_worst(entries.values()));
     let teller = Arc::new(Teller::new(ends.bans, floor));
--- a/src/group/node.rs
+++ b/src/group/node.rs
@@ -98,9 +98,9 @@
     }
 
     /// Whether the caller of that name is who it says.
-    pub(super) async fn verify(&self, name: &str, identity: u64) -> Result<(), Refusal> {
+    pub(super) async fn verify(&self, name: &str, identity: u64, start: Option<u64>) -> Result<(), Refusal> {
         let members = self.members();
-        if self.peers.verify(name, identity, &members).await? || !members.contains_key(&identity) {
+        if self.peers.verify(name, identity, start, &members).await? || !members.contains_key(&identity) {
             self.news.notify_one();
         }
         Ok(())
--- a/src/group/peers.rs
+++ b/src/group/peers.rs
@@ -8,7 +8,7 @@
 use crate::body_buffer::collect;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Method, Request, StatusCode};
+use hyper::{HeaderMap, Method, Request, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -35,6 +35,8 @@
 pub(super) const GROUP_HEADER: &str = "x-gatestage-group";
 pub(super) const NODE_HEADER: &str = "x-gatestage-node";
 pub(super) const IDENTITY_HEADER: &str = "x-gatestage-identity";
+/// Which start of the machine this is: two that run on copies of one disk differ in nothing else.
+pub(super) const START_HEADER: &str = "x-gatestage-start";
 /// Whom the call is for: one that was meant for a machine's predecessor is not for it.
 pub(super) const TO_HEADER: &str = "x-gatestage-to";
 /// The largest body of a call, bytes: entries, and with them a peer that is slow, cost [`SLOTS`] times as much.
@@ -92,6 +94,11 @@
         identities::wrong_one(second, *first_is_member)
     )]
     SameIdentity { identity: String, first: String, second: String, first_is_member: bool },
+    #[error(
+        "two machines named `{node}` run on copies of one `state_dir`: the one at {address} is the group's; stop the \
+         other, and start it on an empty `state_dir` under a name and `listen` of its own"
+    )]
+    CopiedDisk { node: String, address: SocketAddr },
 }
 
 impl Refusal {
@@ -104,6 +111,7 @@
                 | Self::UnknownNode { .. }
                 | Self::TwoNodes { .. }
                 | Self::SameIdentity { .. }
+                | Self::CopiedDisk { .. }
         )
     }
 
@@ -117,7 +125,8 @@
             Self::OtherGroup { .. }
             | Self::TwoNodes { .. }
             | Self::NotMe { .. }
-            | Self::SameIdentity { .. } => StatusCode::CONFLICT,
+            | Self::SameIdentity { .. }
+            | Self::CopiedDisk { .. } => StatusCode::CONFLICT,
             Self::OtherFormat { .. } | Self::Malformed(_) => StatusCode::BAD_REQUEST,
             Self::UnknownNode { .. } => StatusCode::FORBIDDEN,
             Self::NotLeader { .. } => StatusCode::MISDIRECTED_REQUEST,
@@ -151,6 +160,8 @@
     pub group: String,
     pub node: String,
     pub identity: u64,
+    /// Drawn at each start; `None`: this process waits for the one that it replaces, which speaks for the machine.
+    pub start: Option<u64>,
 }
 
 /// What a machine says of itself to its peers.
@@ -173,6 +184,8 @@
 struct Seen {
     /// The one that last answered there.
     identity: Option<u64>,
+    /// Its start, where it said so.
+    start: Option<u64>,
     /// When it was last asked.
     asked: Option<Instant>,
     /// Whether that was answered: not while the answer is on its way.
@@ -181,7 +194,13 @@
 
 impl Seen {
     fn is(&mut self, identity: u64) {
-        *self = Self { identity: Some(identity), asked: Some(Instant::now()), answered: true };
+        let start = self.start.filter(|_| self.identity == Some(identity));
+        *self = Self { identity: Some(identity), start, asked: Some(Instant::now()), answered: true };
+    }
+
+    /// Whether a caller is the one that last answered there; one that names no start may be.
+    fn matches(&self, identity: u64, start: Option<u64>) -> bool {
+        self.identity == Some(identity) && (start.is_none() || self.start == start)
     }
 }
 
@@ -242,10 +261,14 @@
         if !refusal.wants_mending() {
             return;
         }
-        if let Refusal::SameIdentity { second, first_is_member, .. } = refusal
-            && *second == self.mine.node
-        {
-            self.conflicts.refused_here(refusal, *first_is_member);
+        match refusal {
+            Refusal::SameIdentity { second, first_is_member, .. } if *second == self.mine.node => {
+                self.conflicts.refused_here(refusal, *first_is_member);
+            }
+            Refusal::CopiedDisk { node, .. } if *node == self.mine.node => {
+                self.conflicts.refused_here(refusal, true);
+            }
+            _ => {}
         }
         let (mut said, why) =
             (self.refusals.lock().unwrap_or_else(PoisonError::into_inner), refusal.to_string());
@@ -275,6 +298,9 @@
         if let Some(to) = to {
             request = request.header(TO_HEADER, hex(to));
         }
+        if let Some(start) = self.mine.start {
+            request = request.header(START_HEADER, hex(start));
+        }
         let request = request
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| PeerError::Unreachable(error.to_string()))?;
@@ -287,12 +313,16 @@
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Bytes, PeerError> {
+        self.exchange_whole(request).await.map(|(_, body)| body)
+    }
+
+    async fn exchange_whole(&self, request: Request<Full<Bytes>>) -> Result<(HeaderMap, Bytes), PeerError> {
         let answer = self.client.request(request).await;
         let (head, body) = answer.map_err(|error| PeerError::Unreachable(chain(&error)))?.into_parts();
         let body = collect(body, SNAPSHOT_CAP).await;
         let body = body.map_err(|error| PeerError::Garbled(error.to_string()))?;
         if head.status == StatusCode::OK {
-            return Ok(body);
+            return Ok((head.headers, body));
         }
         Err(serde_json::from_slice(&body).map_or(PeerError::Status(head.status), PeerError::Refused))
     }
@@ -371,6 +401,7 @@
         &self,
         name: &str,
         caller: u64,
+        start: Option<u64>,
         members: &BTreeMap<u64, String>,
     ) -> Result<bool, Refusal> {
         if name == self.mine.node && caller == self.mine.identity {
@@ -380,21 +411,28 @@
         let unknown = || Refusal::UnknownNode { node: name.to_owned() };
         let peer = self.book.get(name).ok_or_else(unknown)?;
         let member = members.get(&caller).is_some_and(|known_as| known_as == name);
-        let Seen { identity: seen, asked, .. } = *peer.seen();
-        if seen == Some(caller) {
+        let before = *peer.seen();
+        let Seen { identity: seen, asked, .. } = before;
+        if before.matches(caller, start) {
             return self.is_alone(name, caller, members).map(|()| false);
         }
         // Somebody who only says so may not make this machine ask all the time.
+        let mut asked_now = false;
         if asked.is_none_or(|asked| asked.elapsed() > FRESH_FOR) {
-            *peer.seen() = Seen { identity: seen, asked: Some(Instant::now()), answered: false };
-            if let Ok(identity) = self.hello_unnamed(peer).await {
+            *peer.seen() = Seen { asked: Some(Instant::now()), answered: false, ..before };
+            if let Ok((identity, start)) = self.hello_unnamed(peer).await {
                 self.is_alone(name, identity, members)?;
-                peer.seen().is(identity);
+                let mut seen = peer.seen();
+                seen.is(identity);
+                seen.start = start;
+                asked_now = true;
             }
         }
         let Seen { identity: now, answered, .. } = *peer.seen();
         match now {
-            Some(now) if now == caller => Ok(true),
+            Some(now) if now == caller => {
+                self.is_same_start(name, peer, start, asked_now).map(|()| seen != Some(caller))
+            }
             // A machine on a fresh disk makes several calls at once: while its address is asked nobody says that
             // there are two.
             Some(now) if Some(now) != seen || (!member && answered) => Err(Refusal::TwoNodes {
@@ -408,15 +446,43 @@
         }
     }
 
-    /// Asks an address for its identity without being asked back for one's own.
-    async fn hello_unnamed(&self, peer: &Peer) -> Result<u64, PeerError> {
+    /// Whether a caller with the identity of that peer is the process that answers at the peer's address.
+    ///
+    /// # Errors
+    /// The refusal of another one. Only what the address has said just now tells that there are two: the machine may
+    /// have been started again since.
+    fn is_same_start(
+        &self,
+        name: &str,
+        peer: &Peer,
+        start: Option<u64>,
+        asked_now: bool,
+    ) -> Result<(), Refusal> {
+        let (Some(known), Some(caller)) = (peer.seen().start, start) else { return Ok(()) };
+        if known == caller {
+            self.conflicts.settle(name);
+            return Ok(());
+        }
+        let node = name.to_owned();
+        if !asked_now {
+            return Err(Refusal::Unverified { node });
+        }
+        let refusal = Refusal::CopiedDisk { node, address: peer.address };
+        self.conflicts.refuse(name, &refusal);
+        Err(refusal)
+    }
+
+    /// Asks an address for its identity, and which start it is, without being asked back for one's own.
+    async fn hello_unnamed(&self, peer: &Peer) -> Result<(u64, Option<u64>), PeerError> {
         let uri = format!("http://{}/group/identity", peer.address);
         let request = Request::builder().uri(uri).body(Full::default());
         let request = request.map_err(|error| PeerError::Unreachable(error.to_string()))?;
-        let body = timeout(CONNECT_WITHIN, self.exchange(request)).await;
-        let body = body.unwrap_or(Err(PeerError::TimedOut(CONNECT_WITHIN)))?;
+        let answer = timeout(CONNECT_WITHIN, self.exchange_whole(request)).await;
+        let (headers, body) = answer.unwrap_or(Err(PeerError::TimedOut(CONNECT_WITHIN)))?;
         let text = std::str::from_utf8(&body).unwrap_or_default();
-        u64::from_str_radix(text, 16).map_err(|error| PeerError::Garbled(error.to_string()))
+        let identity =
+            u64::from_str_radix(text, 16).map_err(|error| PeerError::Garbled(error.to_string()))?;
+        Ok((identity, start_of(&headers)))
     }
 }
 
@@ -430,6 +496,11 @@
     }
 }
 
+/// The start that a machine names in a call or an answer; versions before it name none.
+pub(super) fn start_of(headers: &HeaderMap) -> Option<u64> {
+    u64::from_str_radix(headers.get(START_HEADER)?.to_str().ok()?, 16).ok()
+}
+
 /// An error with its causes: hyper's own text leaves them out.
 fn chain(error: &dyn std::error::Error) -> String {
     let causes = std::iter::successors(error.source(), |cause| cause.source());
--- a/src/group/server.rs
+++ b/src/group/server.rs
@@ -4,7 +4,7 @@
 use super::node::Node;
 use super::peers::{
     BODY_CAP, FORMAT, FORMAT_HEADER, GROUP_HEADER, Hello, IDENTITY_HEADER, NODE_HEADER, Refusal,
-    SNAPSHOT_CAP, TO_HEADER, decode, encode, hex,
+    SNAPSHOT_CAP, START_HEADER, TO_HEADER, decode, encode, hex, start_of,
 };
 use super::propose::Question;
 use super::types::{Meta, Snapshot, Types, Vote};
@@ -13,7 +13,7 @@
 use axum::extract::{DefaultBodyLimit, Request, State};
 use axum::http::{HeaderMap, header};
 use axum::middleware::{Next, from_fn_with_state};
-use axum::response::{IntoResponse, Response};
+use axum::response::{AppendHeaders, IntoResponse, Response};
 use axum::routing::{get, post};
 use openraft::raft::{AppendEntriesRequest, AppendEntriesResponse, VoteRequest};
 use serde::Serialize;
@@ -78,7 +78,7 @@
     }
     let identity = u64::from_str_radix(text(IDENTITY_HEADER), 16);
     let identity = identity.map_err(|error| Refusal::Malformed(format!("{IDENTITY_HEADER}: {error}")))?;
-    node.verify(caller, identity).await?;
+    node.verify(caller, identity, start_of(headers)).await?;
     let to = text(TO_HEADER);
     if !to.is_empty() && to != hex(mine.identity) {
         return Err(Refusal::NotMe { wanted: to.to_owned(), here: hex(mine.identity) });
@@ -155,8 +155,10 @@
     answer::<_, Refusal>(Ok(node.kept.of(text(&headers, NODE_HEADER))))
 }
 
-async fn identity(State(node): Shared) -> String {
-    hex(node.peers.mine.identity)
+async fn identity(State(node): Shared) -> impl IntoResponse {
+    let mine = &node.peers.mine;
+    let start = mine.start.map(|start| [(START_HEADER, hex(start))]);
+    (start.map(AppendHeaders), hex(mine.identity))
 }
 
 async fn status(State(node): Shared) -> impl IntoResponse {
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -15,7 +15,7 @@
 use std::collections::BTreeSet;
 use std::io::{BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant, UNIX_EPOCH};
@@ -974,3 +974,45 @@
     is_whole(&three);
     three.all_hold(&["b-1", "b-2"]);
 }
+
+fn copy_folder(from: &Path, to: &Path) {
+    fs::create_dir_all(to).expect("a folder");
+    for entry in fs::read_dir(from).expect("a folder") {
+        let entry = entry.expect("a file");
+        fs::copy(entry.path(), to.join(entry.file_name())).expect("it is copied");
+    }
+}
+
+/// Both were taken for the same machine, so that one voted where the other had voted already.
+#[test]
+fn a_machine_on_a_copy_of_anothers_disk_under_its_name_is_refused_and_takes_no_clients() {
+    let mut three = Three::start("copied-disk");
+    let addresses: Vec<SocketAddr> = three.backends.iter().map(|backend| backend.address).collect();
+    let listens: Vec<SocketAddr> = three.machines.iter().map(|machine| machine.listen).collect();
+    let original = (three.leader() + 1) % 3;
+    three.machines[original].yes("maint-on b-1");
+    let mut copy = Machine::prepare("copied-disk-copy", 9, &addresses);
+    copy.configure(original, "region-a", &listens);
+    three.machines[original].kill();
+    copy_folder(&three.machines[original].home.join("state"), &copy.home.join("state"));
+    three.machines[original].start();
+    is_whole(&three);
+    copy.start();
+    let said = conflicts(&copy);
+    let words = [format!("`p-{original}`"), listens[original].to_string(), "`state_dir`".to_owned()];
+    assert!(words.iter().all(|word| said.contains(word)), "{said}");
+    stays_down(&[&copy]);
+    wait_for("its log says so", || (!copy.events("group_conflict").is_empty()).then_some(()));
+    let others = (0..3).filter(|&place| place != original).map(|place| &three.machines[place]);
+    wait_for("a peer says so", || {
+        others.clone().any(|other| !other.events("identity_refused").is_empty()).then_some(())
+    });
+    assert_eq!(
+        three.machines[original].status().expect("a status")["conflicts"],
+        json!([]),
+        "the original is sound"
+    );
+    is_whole(&three);
+    three.machines[original].yes("maint-on b-2");
+    three.all_hold(&["b-1", "b-2"]);
+}
