Write each line of the log with one call, so that processes do not mix theirs

In the log that both processes of the upgrade share, the event is there, and behind it on the same line stands "the listener was handed to another process": an operator's reader can't parse either.

Cause: standard error has no buffer, so a formatted line goes out in pieces, its end in a call of its own, and the other process writes between. Ruled out by the log: the event was neither late nor missing.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod body_buffer;
 pub mod discovery_schedule;
 pub mod group;
+pub mod log_line;
 pub mod names;
 pub mod proxy;
 pub mod recent_requests;
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -25,6 +25,8 @@
 pub mod tenants;
 pub mod view;
 
+use crate::log_line;
+
 /// The largest body of a request or an answer that is held whole.
 pub const BODY_CAP: usize = 64 * 1024;
 
@@ -51,6 +53,5 @@
 
 /// A line for the operators. Unlike `eprintln!` it does not panic when nobody reads standard error.
 pub fn log(line: std::fmt::Arguments<'_>) {
-    use std::io::Write;
-    let _ = writeln!(std::io::stderr(), "{line}");
+    log_line::write(line);
 }
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -15,6 +15,8 @@
 use std::collections::BTreeSet;
 use std::io::{BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixDatagram;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -1050,3 +1052,28 @@
     let three = three.run();
     three.machines[1].yes("maint-on b-1");
 }
+
+/// Two processes of an upgrade share a log, and one wrote between the other's line and its end.
+#[test]
+fn each_line_of_the_log_is_written_at_once() {
+    const LINES: usize = 4;
+    let mut three = Three::prepare("lines");
+    // Each call that writes makes a message of its own.
+    let (near, far) = UnixDatagram::pair().expect("a pair of sockets");
+    far.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    let machine = &mut three.machines[0];
+    let child = Command::new(env!("CARGO_BIN_EXE_gatestage"))
+        .arg("proxy")
+        .env("EDGE_CONFIG", machine.home.join("edge.json"))
+        .env("GATESTAGE_CONFIG", machine.home.join("group.toml"))
+        .env("TMPDIR", machine.home.join("tmp"))
+        .stderr(Stdio::from(OwnedFd::from(near)))
+        .spawn();
+    machine.child = Some(child.expect("the program starts"));
+    for _ in 0..LINES {
+        let mut buffer = [0; 8_192];
+        let read = far.recv(&mut buffer).expect("a line");
+        let text = String::from_utf8_lossy(&buffer[..read]);
+        assert!(text.len() > 1 && text.find('\n') == Some(text.len() - 1), "no whole line: {text:?}");
+    }
+}
